--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# make demo and make test do all the set-up that they need.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := state protocol transport coordination node ctl testing
+
+.PHONY: setup test demo format check types lock generate
+
+setup: $(STAMP)
+
+$(STAMP): requirements/constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements/build.txt
+	$(BIN)/pip install --quiet --no-build-isolation --require-hashes \
+	  -r requirements/constraints.txt
+	$(BIN)/pip install --quiet --no-build-isolation --no-deps \
+	  $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+demo: $(STAMP)
+	$(BIN)/python -m radishtray_testing.demo
+
+format: $(STAMP)
+	$(BIN)/ruff format packages tools
+	$(BIN)/ruff check --fix packages tools
+
+check: $(STAMP)
+	$(BIN)/ruff format --check packages tools
+	$(BIN)/ruff check packages tools
+
+types: $(STAMP)
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p)/radishtray_$(p))
+
+# Needs the Thrift compiler; the result is committed.
+generate:
+	tools/generate_wire.sh
--- /dev/null
+++ b/packages/coordination/radishtray_coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers that join state machines, the platform and peers."""
--- /dev/null
+++ b/packages/ctl/radishtray_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The radishtrayctl program."""
--- /dev/null
+++ b/packages/node/radishtray_node/__init__.py
@@ -0,0 +1,1 @@
+"""The radishtray-node program."""
--- /dev/null
+++ b/packages/protocol/radishtray_protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Wire messages, document format and platform objects."""
--- /dev/null
+++ b/packages/protocol/radishtray_protocol/_gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/packages/protocol/radishtray_protocol/wire.thrift
@@ -0,0 +1,198 @@
+namespace py radishtray_protocol._gen
+
+/** Opens a connection; each side sends one first. */
+struct Hello {
+  1: required string node_id
+  2: required i64 incarnation
+  3: required binary nonce
+  /** Increases with every connection that this sender opens to one receiver. */
+  4: required i64 connection_epoch
+  5: required list<string> key_ids
+}
+
+/** HMAC-SHA256 over both hellos. */
+struct Proof {
+  1: required string key_id
+  2: required binary tag
+}
+
+struct Context {
+  1: required binary request_id
+  2: required i16 priority_class
+  3: required i16 level
+  /** Time left to answer, in milliseconds. */
+  4: required i32 deadline_ms
+  5: required i16 retry_budget
+  6: required i16 depth
+  7: optional string key
+  8: optional bool key_first_send
+  9: required i64 fingerprint
+  10: required i16 crash_count
+}
+
+struct Call {
+  1: required i64 attempt_id
+  2: required string service_name
+  3: required string kind
+  4: required string method
+  5: required string path
+  /** Names and values alternate. */
+  6: required list<string> headers
+  7: required binary body
+  8: required Context context
+  9: required i64 generation
+}
+
+struct Answer {
+  1: required i64 attempt_id
+  2: required i16 status
+  3: required list<string> headers
+  4: required binary body
+  5: required i16 retries_used
+  /** Refusal reason; absent on an answer of the upstream. */
+  6: optional string refusal
+  /** Lowest admitted rank of the answering node: class * 128 + level. */
+  7: required i16 threshold
+  8: required i32 queue_ms
+  9: required i32 in_flight
+  10: optional bool crashed
+  /** Free text or a replacement key that belongs to the refusal. */
+  11: optional string detail
+}
+
+struct Cancel {
+  1: required i64 attempt_id
+}
+
+enum AttemptPhase {
+  NEVER_SEEN = 0
+  RUNNING = 1
+  DONE = 2
+}
+
+struct AttemptQuery {
+  1: required list<i64> attempt_ids
+}
+
+struct AttemptState {
+  1: required i64 attempt_id
+  2: required AttemptPhase phase
+  3: optional Answer answer
+}
+
+struct AttemptStates {
+  1: required list<AttemptState> states
+}
+
+struct Ping {
+  1: required i64 sequence
+}
+
+struct Pong {
+  1: required i64 sequence
+}
+
+struct ReleasePull {
+  1: required i64 have_generation
+}
+
+struct ReleasePush {
+  1: required i64 generation
+  /** JSON of release/current. */
+  2: required binary manifest
+  /** Section digest to section text; only those the receiver may lack. */
+  3: required map<string, binary> sections
+}
+
+struct SlotTablePull {
+  1: required string service_name
+}
+
+struct SlotTablePush {
+  1: required string service_name
+  2: required i64 version
+  /** JSON of keys/<service>. */
+  3: required binary table
+}
+
+struct KeyRecord {
+  1: required string key
+  2: required binary digest
+  3: required bool unknown
+  4: optional Answer answer
+}
+
+struct KeyRecords {
+  1: required string service_name
+  2: required i32 slot
+  3: required list<KeyRecord> records
+}
+
+struct KeyRecordsAck {
+  1: required string service_name
+  2: required i32 slot
+}
+
+struct Frame {
+  1: optional Hello hello
+  2: optional Proof proof
+  3: optional Call call
+  4: optional Answer answer
+  5: optional Cancel cancel
+  6: optional AttemptQuery attempt_query
+  7: optional AttemptStates attempt_states
+  8: optional Ping ping
+  9: optional Pong pong
+  10: optional ReleasePull release_pull
+  11: optional ReleasePush release_push
+  12: optional SlotTablePull slot_table_pull
+  13: optional SlotTablePush slot_table_push
+  14: optional KeyRecords key_records
+  15: optional KeyRecordsAck key_records_ack
+}
+
+enum MemberState {
+  ALIVE = 0
+  SUSPECT = 1
+  DEAD = 2
+  LEFT = 3
+}
+
+struct Member {
+  1: required string node_id
+  2: required i64 incarnation
+  3: required MemberState state
+  /** Raised by the member itself to refute a suspicion or to change its data. */
+  4: required i64 version
+  5: required string gossip_address
+  6: required string node_address
+  7: required string failure_domain
+  8: required string service_name
+  9: required i32 slots
+  10: required bool serving
+  11: required bool draining
+}
+
+enum GossipKind {
+  PING = 0
+  ACK = 1
+  PING_REQUEST = 2
+  PUSH = 3
+}
+
+struct CrashSuspect {
+  1: required i64 fingerprint
+  2: required i16 crashes
+  3: required i32 ttl_ms
+}
+
+struct Gossip {
+  1: required string sender
+  2: required i64 sequence
+  3: required GossipKind kind
+  4: optional string target
+  5: required list<Member> updates
+  6: required i64 generation
+  7: required list<CrashSuspect> suspects
+  8: optional i64 view_digest
+}
--- /dev/null
+++ b/packages/testing/radishtray_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tool and history checker."""
--- /dev/null
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -0,0 +1,1 @@
+"""Twisted sockets for HTTP, node connections, gossip and the platform."""
