--- /dev/null
+++ b/packages/protocol/radishtray_protocol/_document.py
@@ -0,0 +1,224 @@
+"""The configuration document after validation."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, Final
+
+from radishtray_protocol._document_keys import (
+    KIND_KEYS,
+    NAME_PATTERN,
+    OWNER_KEY,
+    SAFE_METHODS,
+    PriorityClass,
+)
+from radishtray_protocol._path_template import PathTemplate
+
+DEFAULTS_SECTION: Final = "defaults"
+DOCUMENT_FORMAT: Final = 1
+
+
+class RequestKind:
+    """One kind of request of a service; immutable by convention."""
+
+    __slots__ = (
+        "at_most_once",
+        "calls",
+        "deadline_ms",
+        "idempotent",
+        "method",
+        "name",
+        "path",
+        "priority_class",
+        "qualified_name",
+        "retry_budget",
+        "service",
+        "template",
+        "weight",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        name: str,
+        method: str,
+        path: str,
+        *,
+        priority_class: PriorityClass = PriorityClass.NORMAL,
+        at_most_once: bool = False,
+        idempotent: bool | None = None,
+        deadline_ms: int = 1_000,
+        retry_budget: int = 3,
+        weight: float = 1,
+        calls: Iterable[str] = (),
+    ) -> None:
+        """Validates all fields.
+
+        Args:
+            service: Name of the service that answers the kind.
+            name: Name of the kind within the service.
+            method: HTTP method.
+            path: Path below the service, literal or with {name} segments.
+            priority_class: Importance for load shedding.
+            at_most_once: Whether a request needs a key and runs at most once.
+            idempotent: Whether an unknown attempt may be repeated; None for
+                the default of the method.
+            deadline_ms: Time to answer, in milliseconds.
+            retry_budget: Further attempts allowed in the whole chain.
+            weight: Weight in the goodput metric.
+            calls: Kinds that the upstream calls, each as `service/kind`.
+
+        Raises:
+            ValueError: If a field is out of range or fields contradict.
+        """
+        self.service = service
+        self.name = name
+        self.qualified_name = f"{service}/{name}"
+        self.method = method
+        self.path = path
+        self.priority_class = PriorityClass(priority_class)
+        self.at_most_once = at_most_once
+        self.idempotent = (
+            method in SAFE_METHODS and not at_most_once
+            if idempotent is None
+            else idempotent
+        )
+        self.deadline_ms = deadline_ms
+        self.retry_budget = retry_budget
+        self.weight = weight
+        self.calls = tuple(calls)
+        self._validate()
+        self.template = PathTemplate(path)
+
+    def _validate(self) -> None:
+        for label, name in (("service", self.service), ("kind", self.name)):
+            if not NAME_PATTERN.match(name):
+                raise ValueError(f"{label} name {name!r} is malformed")
+        for key, value in self.to_json().items():
+            typed = tuple(value) if isinstance(value, list) else value
+            problem = KIND_KEYS[key].problem(typed)
+            if problem:
+                raise ValueError(f"{self.qualified_name}: {key}: {problem}")
+        if self.at_most_once and self.idempotent:
+            raise ValueError(
+                f"{self.qualified_name}: at_most_once excludes idempotent"
+            )
+
+    def to_json(self) -> dict[str, Any]:
+        """Returns the fields under their keys of the document."""
+        return {
+            "method": self.method,
+            "path": self.path,
+            "class": self.priority_class.name.lower(),
+            "at_most_once": self.at_most_once,
+            "idempotent": self.idempotent,
+            "deadline_ms": self.deadline_ms,
+            "retry_budget": self.retry_budget,
+            "weight": self.weight,
+            "calls": list(self.calls),
+        }
+
+
+class ServiceSection:
+    """The section of one service."""
+
+    __slots__ = ("kinds", "name", "owner")
+
+    def __init__(
+        self, name: str, owner: str, kinds: Iterable[RequestKind]
+    ) -> None:
+        """Collects the kinds of one service.
+
+        Args:
+            name: Name of the service.
+            owner: Team that edits the section.
+            kinds: Request kinds with distinct names.
+
+        Raises:
+            ValueError: If a name is malformed, reserved or used twice.
+        """
+        self.name = name
+        self.owner = owner
+        self.kinds: dict[str, RequestKind] = {}
+        if not NAME_PATTERN.match(name) or name == DEFAULTS_SECTION:
+            raise ValueError(f"service name {name!r} is malformed or reserved")
+        problem = OWNER_KEY.problem(owner)
+        if problem:
+            raise ValueError(f"{name}: owner: {problem}")
+        for kind in kinds:
+            if kind.service != name or kind.name in self.kinds:
+                raise ValueError(f"{kind.qualified_name} does not fit {name}")
+            self.kinds[kind.name] = kind
+
+
+class Document:
+    """All sections, compiled for classification of requests."""
+
+    __slots__ = ("_literals", "_templates", "defaults_owner", "services")
+
+    def __init__(
+        self,
+        services: Iterable[ServiceSection],
+        defaults_owner: str | None = None,
+    ) -> None:
+        """Compiles the lookup tables.
+
+        Args:
+            services: Sections with distinct names.
+            defaults_owner: Owner of the defaults section, if there is one.
+
+        Raises:
+            ValueError: If two sections have one name.
+        """
+        self.defaults_owner = defaults_owner
+        self.services: dict[str, ServiceSection] = {}
+        self._literals: dict[tuple[str, str, str], RequestKind] = {}
+        self._templates: dict[tuple[str, str, int], list[RequestKind]] = {}
+        for section in services:
+            if section.name in self.services:
+                raise ValueError(f"service {section.name} occurs twice")
+            self.services[section.name] = section
+            for kind in section.kinds.values():
+                self._index(kind)
+
+    def _index(self, kind: RequestKind) -> None:
+        if kind.template.is_literal:
+            self._literals[kind.service, kind.method, kind.path] = kind
+            return
+        key = (kind.service, kind.method, kind.template.segment_count)
+        self._templates.setdefault(key, []).append(kind)
+
+    @property
+    def owners(self) -> Mapping[str, str]:
+        """The owner of each section by its name."""
+        owners = {name: part.owner for name, part in self.services.items()}
+        if self.defaults_owner is not None:
+            owners[DEFAULTS_SECTION] = self.defaults_owner
+        return owners
+
+    def kind(self, service: str, name: str) -> RequestKind | None:
+        """Returns a kind by its name, or None."""
+        section = self.services.get(service)
+        return section.kinds.get(name) if section else None
+
+    def classify(
+        self, service: str, method: str, path: str
+    ) -> RequestKind | None:
+        """Finds the kind of a request; literal paths win over templates.
+
+        Args:
+            service: Name of the service.
+            method: HTTP method.
+            path: Path below the service, without a query.
+
+        Returns:
+            The kind, or None if the service has none for the request.
+        """
+        kind = self._literals.get((service, method, path))
+        if kind is not None:
+            return kind
+        segments = path.split("/")
+        candidates = self._templates.get((service, method, len(segments)))
+        if candidates is not None:
+            for candidate in candidates:
+                if candidate.template.matches(segments):
+                    return candidate
+        return None
--- /dev/null
+++ b/packages/protocol/radishtray_protocol/_document_keys.py
@@ -0,0 +1,247 @@
+"""The keys of a configuration document: types, units, defaults, ranges.
+
+The parser, the validation at construction and docs/configuration.md all use
+these tables.
+"""
+
+import re
+from collections.abc import Mapping
+from enum import Enum, IntEnum
+from typing import Any, Final
+
+NAME_PATTERN: Final = re.compile(r"[a-z][a-z0-9_-]{0,62}\Z")
+MAX_TEXT_CHARS: Final = 200
+MAX_KINDS_PER_SERVICE: Final = 500
+METHODS: Final = ("GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE")
+SAFE_METHODS: Final = frozenset(("GET", "HEAD", "OPTIONS"))
+
+
+class PriorityClass(IntEnum):
+    """Importance of a request; higher values are shed first.
+
+    The values are the ones of `Context.priority_class` on the wire.
+    """
+
+    CRITICAL = 0
+    HIGH = 1
+    NORMAL = 2
+    LOW = 3
+
+
+CLASS_NAMES: Final = tuple(member.name.lower() for member in PriorityClass)
+
+
+class KeyType(Enum):
+    """The type of a key's value, as written in findings and in the docs."""
+
+    TEXT = "text"
+    FLAG = "true or false"
+    INTEGER = "whole number"
+    NUMBER = "number"
+    CHOICE = "choice"
+    LIST = "list of service/kind"
+
+
+class KeySpec:
+    """One key of the document."""
+
+    __slots__ = (
+        "choices",
+        "default",
+        "description",
+        "key_type",
+        "maximum",
+        "minimum",
+        "name",
+        "required",
+        "unit",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        key_type: KeyType,
+        description: str,
+        *,
+        unit: str = "",
+        default: Any = None,
+        required: bool = False,
+        minimum: float = 0,
+        maximum: float = 0,
+        choices: tuple[str, ...] = (),
+    ) -> None:
+        """Describes one key.
+
+        Args:
+            name: Key as written in the document.
+            key_type: Type of its value.
+            description: One sentence for the docs.
+            unit: Unit of a number.
+            default: Value if the key is absent; None if there is none.
+            required: Whether the key must be present.
+            minimum: Smallest number allowed.
+            maximum: Largest number allowed.
+            choices: Allowed words.
+        """
+        self.name = name
+        self.key_type = key_type
+        self.description = description
+        self.unit = unit
+        self.default = default
+        self.required = required
+        self.minimum = minimum
+        self.maximum = maximum
+        self.choices = choices
+
+    def problem(self, value: Any) -> str | None:
+        """Returns what is wrong with a value of this key, or None."""
+        check = _CHECKS[self.key_type]
+        return check(self, value)
+
+
+def _text_problem(spec: KeySpec, value: Any) -> str | None:
+    if not isinstance(value, str):
+        return "expected text"
+    if not value.strip():
+        return "must not be empty"
+    if len(value) > MAX_TEXT_CHARS:
+        return f"must have at most {MAX_TEXT_CHARS} characters"
+    if not value.isprintable():
+        return "must not contain control characters"
+    return None
+
+
+def _flag_problem(spec: KeySpec, value: Any) -> str | None:
+    return None if isinstance(value, bool) else "expected true or false"
+
+
+def _number_problem(spec: KeySpec, value: Any) -> str | None:
+    whole = spec.key_type is KeyType.INTEGER
+    allowed = int if whole else (int, float)
+    if isinstance(value, bool) or not isinstance(value, allowed):
+        return "expected a whole number" if whole else "expected a number"
+    if not spec.minimum <= value <= spec.maximum:
+        unit = f" {spec.unit}" if spec.unit else ""
+        return f"must be {spec.minimum:g} to {spec.maximum:g}{unit}"
+    return None
+
+
+def _choice_problem(spec: KeySpec, value: Any) -> str | None:
+    if value in spec.choices:
+        return None
+    return f"must be one of {', '.join(spec.choices)}"
+
+
+def _list_problem(spec: KeySpec, value: Any) -> str | None:
+    if not isinstance(value, tuple):
+        return "expected a list"
+    for target in value:
+        problem = target_problem(target)
+        if problem:
+            return problem
+    return None
+
+
+def target_problem(target: Any) -> str | None:
+    """Returns what is wrong with one entry of `calls`, or None."""
+    parts = target.split("/") if isinstance(target, str) else []
+    if len(parts) == 2 and all(map(NAME_PATTERN.match, parts)):
+        return None
+    return "expected service/kind"
+
+
+_CHECKS: Final = {
+    KeyType.TEXT: _text_problem,
+    KeyType.FLAG: _flag_problem,
+    KeyType.INTEGER: _number_problem,
+    KeyType.NUMBER: _number_problem,
+    KeyType.CHOICE: _choice_problem,
+    KeyType.LIST: _list_problem,
+}
+
+
+def _table(*specs: KeySpec) -> Mapping[str, KeySpec]:
+    return {spec.name: spec for spec in specs}
+
+
+OWNER_KEY: Final = KeySpec(
+    "owner", KeyType.TEXT, "Team that edits the section.", required=True
+)
+
+_CLASS = KeySpec(
+    "class",
+    KeyType.CHOICE,
+    "Priority class; classes are shed from low to critical.",
+    default="normal",
+    choices=CLASS_NAMES,
+)
+_DEADLINE = KeySpec(
+    "deadline_ms",
+    KeyType.INTEGER,
+    "Time within which the entry node answers a caller's request.",
+    unit="ms",
+    default=1_000,
+    minimum=1,
+    maximum=600_000,
+)
+_RETRY_BUDGET = KeySpec(
+    "retry_budget",
+    KeyType.INTEGER,
+    "Further attempts that one caller's request may cost in its whole chain.",
+    unit="attempts",
+    default=3,
+    minimum=0,
+    maximum=100,
+)
+_WEIGHT = KeySpec(
+    "weight",
+    KeyType.NUMBER,
+    "Weight of one answered request in the goodput metric.",
+    default=1,
+    minimum=0,
+    maximum=1_000_000,
+)
+
+DEFAULTS_KEYS: Final = _table(
+    OWNER_KEY, _CLASS, _DEADLINE, _RETRY_BUDGET, _WEIGHT
+)
+"""Keys of the `defaults` section: owner, and defaults of all kinds."""
+
+KIND_KEYS: Final = _table(
+    KeySpec(
+        "method",
+        KeyType.CHOICE,
+        "HTTP method.",
+        required=True,
+        choices=METHODS,
+    ),
+    KeySpec(
+        "path",
+        KeyType.TEXT,
+        "Path below the service, literal or with {name} segments.",
+        required=True,
+    ),
+    _CLASS,
+    KeySpec(
+        "at_most_once",
+        KeyType.FLAG,
+        "Whether a request needs a key and runs at most once per key.",
+        default=False,
+    ),
+    KeySpec(
+        "idempotent",
+        KeyType.FLAG,
+        "Whether an attempt of unknown outcome may be repeated. The default"
+        " is true for GET, HEAD and OPTIONS that are not at_most_once.",
+    ),
+    _DEADLINE,
+    _RETRY_BUDGET,
+    _WEIGHT,
+    KeySpec(
+        "calls",
+        KeyType.LIST,
+        "Kinds that the upstream calls while it runs this kind.",
+        default=(),
+    ),
+)
+"""Keys of one request kind."""
