Add section texts and the release manifest

Cause: sections are stored as separate objects by digest, and one manifest puts them in effect together. Ruled out: storing serialised YAML, which loses the comments of the teams.

--- /dev/null
+++ b/packages/protocol/radishtray_protocol/_release.py
@@ -0,0 +1,390 @@
+"""The platform object `release/current`."""
+
+import json
+import re
+from collections.abc import Iterable, Mapping
+from typing import Any, Final
+
+from expression import Error, Ok, Result
+
+from radishtray_protocol._document_keys import NAME_PATTERN
+
+RELEASE_OBJECT: Final = "release/current"
+MAX_VALUE_BYTES: Final = 1_000_000  # The platform's limit of a value.
+MAX_HISTORY_CHANGES: Final = 200
+_MAX_TEXT_CHARS: Final = 200
+_DIGEST: Final = re.compile(r"[0-9a-f]{64}\Z")
+_CHANGE_ID: Final = re.compile(r"[A-Za-z0-9_.-]{1,64}\Z")
+
+
+def section_object(section: str, digest: str) -> str:
+    """Returns the name of the object that holds a section text."""
+    return f"sections/{section}/{digest}"
+
+
+class ReleaseError:
+    """Why a text is no acceptable release."""
+
+    __slots__ = ("message", "place")
+
+    def __init__(self, place: str, message: str) -> None:
+        """Records the fault.
+
+        Args:
+            place: Dotted key in the JSON text; empty for the whole text.
+            message: What is wrong.
+        """
+        self.place = place
+        self.message = message
+
+    def __str__(self) -> str:
+        """Returns the place and the message."""
+        return f"{self.place}: {self.message}" if self.place else self.message
+
+
+class DigestChange:
+    """One section's digests before and after a change."""
+
+    __slots__ = ("new", "old")
+
+    def __init__(self, old: str | None, new: str | None) -> None:
+        """Records the digests.
+
+        Args:
+            old: Digest before, or None if the section was absent.
+            new: Digest after, or None if the section was removed.
+        """
+        self.old = old
+        self.new = new
+
+
+class Change:
+    """One entry of the history."""
+
+    __slots__ = (
+        "author",
+        "change_id",
+        "generation",
+        "note",
+        "sections",
+        "time_ms",
+    )
+
+    def __init__(
+        self,
+        generation: int,
+        change_id: str,
+        author: str,
+        *,
+        time_ms: int,
+        note: str,
+        sections: Mapping[str, DigestChange],
+    ) -> None:
+        """Records one change.
+
+        Args:
+            generation: Generation that the change made.
+            change_id: Unique id of the change.
+            author: Who made it.
+            time_ms: Wall time in milliseconds since the epoch; informative.
+            note: Free text, such as the generation of a rollback.
+            sections: Digests by section name.
+        """
+        self.generation = generation
+        self.change_id = change_id
+        self.author = author
+        self.time_ms = time_ms
+        self.note = note
+        self.sections = dict(sections)
+
+    def to_json(self) -> dict[str, Any]:
+        """Returns the JSON form."""
+        return {
+            "generation": self.generation,
+            "change_id": self.change_id,
+            "author": self.author,
+            "time_ms": self.time_ms,
+            "note": self.note,
+            "sections": {
+                name: [digests.old, digests.new]
+                for name, digests in self.sections.items()
+            },
+        }
+
+
+class Release:
+    """One generation of the configuration: its sections and their history."""
+
+    __slots__ = ("change_id", "generation", "history", "sections")
+
+    def __init__(
+        self,
+        generation: int,
+        change_id: str,
+        sections: Mapping[str, str],
+        history: Iterable[Change] = (),
+    ) -> None:
+        """Holds one generation.
+
+        Args:
+            generation: Number of the generation, from 1.
+            change_id: Id of the change that made it.
+            sections: Digest by section name.
+            history: Changes, newest first.
+
+        Raises:
+            ValueError: If the generation is below 1.
+        """
+        if generation < 1:
+            raise ValueError(f"generation {generation} is below 1")
+        self.generation = generation
+        self.change_id = change_id
+        self.sections = dict(sections)
+        self.history = tuple(history)[:MAX_HISTORY_CHANGES]
+
+    def find_change(self, change_id: str) -> Change | None:
+        """Returns the change with an id, or None."""
+        for change in self.history:
+            if change.change_id == change_id:
+                return change
+        return None
+
+    def last_change(self, section: str) -> Change | None:
+        """Returns the newest change of a section that the history holds."""
+        for change in self.history:
+            if section in change.sections:
+                return change
+        return None
+
+    def sections_at(self, generation: int) -> dict[str, str] | None:
+        """Returns the digests of an earlier generation.
+
+        Args:
+            generation: Generation that the history still reaches.
+
+        Returns:
+            Digests by section name, or None out of the history's reach.
+        """
+        sections = dict(self.sections)
+        current = self.generation
+        for change in self.history:
+            if current <= generation:
+                break
+            for name, digests in change.sections.items():
+                if digests.old is None:
+                    sections.pop(name, None)
+                else:
+                    sections[name] = digests.old
+            current = change.generation - 1
+        return sections if current == generation and generation else None
+
+    def referenced(self) -> set[str]:
+        """Returns the names of all section objects still needed."""
+        names = {section_object(*item) for item in self.sections.items()}
+        for change in self.history:
+            for name, digests in change.sections.items():
+                for digest in (digests.old, digests.new):
+                    if digest is not None:
+                        names.add(section_object(name, digest))
+        return names
+
+    def to_json(self) -> dict[str, Any]:
+        """Returns the JSON form."""
+        return {
+            "generation": self.generation,
+            "change_id": self.change_id,
+            "sections": self.sections,
+            "history": [change.to_json() for change in self.history],
+        }
+
+    def encode(self) -> bytes:
+        """Returns the JSON text, without the oldest changes if too long.
+
+        Raises:
+            ValueError: If the text is too long even with the newest change
+                alone.
+        """
+        shown = self.to_json()
+        while True:
+            text = json.dumps(shown, separators=(",", ":")).encode()
+            if len(text) <= MAX_VALUE_BYTES:
+                return text
+            kept = len(shown["history"])
+            if kept <= 1:
+                raise ValueError(f"the release has {len(text)} bytes")
+            # Linear in the excess: drops the share that is too long.
+            keep = kept * MAX_VALUE_BYTES // len(text)
+            shown["history"] = shown["history"][: max(1, min(keep, kept - 1))]
+
+
+def next_release(
+    current: Release | None,
+    changes: Mapping[str, str | None],
+    *,
+    change_id: str,
+    author: str,
+    time_ms: int,
+    note: str = "",
+) -> Release:
+    """Returns the release that follows another one.
+
+    Args:
+        current: Release to follow, or None for the first one.
+        changes: New digest by section name; None removes the section.
+        change_id: Unique id of the change.
+        author: Who makes the change.
+        time_ms: Wall time in milliseconds since the epoch.
+        note: Free text.
+    """
+    sections = dict(current.sections) if current else {}
+    digests: dict[str, DigestChange] = {}
+    for name, new in changes.items():
+        digests[name] = DigestChange(sections.get(name), new)
+        if new is None:
+            sections.pop(name, None)
+        else:
+            sections[name] = new
+    generation = current.generation + 1 if current else 1
+    change = Change(
+        generation,
+        change_id,
+        author[:_MAX_TEXT_CHARS],
+        time_ms=time_ms,
+        note=note[:_MAX_TEXT_CHARS],
+        sections=digests,
+    )
+    history = current.history if current else ()
+    return Release(
+        generation,
+        change_id,
+        dict(sorted(sections.items())),
+        (change, *history),
+    )
+
+
+def decode_release(
+    data: bytes, above_generation: int = 0
+) -> Result[Release, ReleaseError]:
+    """Parses and checks the JSON text of a release.
+
+    Args:
+        data: JSON text.
+        above_generation: Generation in force; only higher ones are accepted,
+            so a release never goes back.
+    """
+    if len(data) > MAX_VALUE_BYTES:
+        return Error(ReleaseError("", f"exceeds {MAX_VALUE_BYTES} bytes"))
+    try:
+        release = _read_release(json.loads(data))
+    except _FaultError as fault:
+        return Error(fault.error)
+    except (ValueError, RecursionError) as error:
+        return Error(ReleaseError("", f"not JSON: {error}"))
+    if release.generation <= above_generation:
+        return Error(
+            ReleaseError(
+                "generation",
+                f"{release.generation} is not above {above_generation}",
+            )
+        )
+    return Ok(release)
+
+
+class _FaultError(Exception):
+    def __init__(self, place: str, message: str) -> None:
+        super().__init__(message)
+        self.error = ReleaseError(place, message)
+
+
+def _read_release(value: Any) -> Release:
+    _expect_keys(value, "", ("generation", "change_id", "sections", "history"))
+    history = value["history"]
+    if not isinstance(history, list) or len(history) > MAX_HISTORY_CHANGES:
+        raise _FaultError(
+            "history", f"expected a list of at most {MAX_HISTORY_CHANGES}"
+        )
+    changes = [
+        _read_change(change, f"history.{index}")
+        for index, change in enumerate(history)
+    ]
+    generation = _number(value["generation"], "generation", 1)
+    expected = [generation - index for index in range(len(changes))]
+    if [change.generation for change in changes] != expected:
+        raise _FaultError("history", "its generations are not consecutive")
+    return Release(
+        generation,
+        _matching(value["change_id"], "change_id", _CHANGE_ID),
+        _read_sections(value["sections"]),
+        changes,
+    )
+
+
+def _read_sections(value: Any) -> dict[str, str]:
+    if not isinstance(value, dict):
+        raise _FaultError("sections", "expected a mapping")
+    return {
+        _matching(name, "sections", NAME_PATTERN): _matching(
+            digest, f"sections.{name}", _DIGEST
+        )
+        for name, digest in value.items()
+    }
+
+
+def _read_change(value: Any, place: str) -> Change:
+    _expect_keys(value, place, Change.__slots__)
+    sections = value["sections"]
+    if not isinstance(sections, dict):
+        raise _FaultError(f"{place}.sections", "expected a mapping")
+    return Change(
+        _number(value["generation"], f"{place}.generation", 1),
+        _matching(value["change_id"], f"{place}.change_id", _CHANGE_ID),
+        _text(value["author"], f"{place}.author"),
+        time_ms=_number(value["time_ms"], f"{place}.time_ms", 0),
+        note=_text(value["note"], f"{place}.note"),
+        sections={
+            _matching(name, f"{place}.sections", NAME_PATTERN): _read_digests(
+                digests, f"{place}.sections.{name}"
+            )
+            for name, digests in sections.items()
+        },
+    )
+
+
+def _read_digests(value: Any, place: str) -> DigestChange:
+    if not isinstance(value, list) or len(value) != 2:
+        raise _FaultError(place, "expected the old and the new digest")
+    old, new = (
+        None if digest is None else _matching(digest, place, _DIGEST)
+        for digest in value
+    )
+    return DigestChange(old, new)
+
+
+def _expect_keys(value: Any, place: str, keys: Iterable[str]) -> None:
+    if not isinstance(value, dict):
+        raise _FaultError(place, "expected a mapping")
+    for key in keys:
+        if key not in value:
+            raise _FaultError(f"{place}.{key}".lstrip("."), "is missing")
+
+
+def _number(value: Any, place: str, minimum: int) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise _FaultError(place, "expected a whole number")
+    if not minimum <= value < 2**63:
+        raise _FaultError(place, f"{value} is out of range")
+    return value
+
+
+def _matching(value: Any, place: str, pattern: re.Pattern[str]) -> str:
+    if not isinstance(value, str) or not pattern.match(value):
+        raise _FaultError(place, f"{value!r} is malformed")
+    return value
+
+
+def _text(value: Any, place: str) -> str:
+    if not isinstance(value, str) or len(value) > _MAX_TEXT_CHARS:
+        raise _FaultError(
+            place, f"expected text of at most {_MAX_TEXT_CHARS} characters"
+        )
+    return value
--- /dev/null
+++ b/packages/protocol/radishtray_protocol/tests/test_document.py
@@ -0,0 +1,202 @@
+"""Guards the document format: findings with places, classes, sections."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishtray_protocol import (
+    Document,
+    PriorityClass,
+    RequestKind,
+    join_sections,
+    parse_document,
+    split_sections,
+)
+
+GOOD = """\
+format: 1
+# Lost: a comment above the first section's own comments.
+
+defaults:
+  owner: plataforma
+  retry_budget: 2
+services:
+    # Sells tickets.
+    taquilla:
+      owner: ventas
+      kinds:
+        compra: {method: POST, path: /compras, class: critical,
+                 at_most_once: true, calls: [gafete/leer]}
+        estado: {method: GET, path: "/compras/{compra}", class: high}
+        ayer: {method: GET, path: /compras/ayer}
+
+    gafete:
+      owner: acceso  # Badge team.
+      kinds:
+        leer:
+          method: GET
+          path: /gafetes/{gafete}
+          deadline_ms: 250
+"""
+FLOW = (
+    "{format: 1, services: {a: {owner: '1', kinds: {k: {method: GET,"
+    " path: /}}}}}"
+)
+
+# Name: (text to replace, replacement, anchors of the findings in the new
+# text, start of the first finding after its place).
+FAULTS = {
+    "unknown_key": ("deadline_ms", "deadline", ["deadline:"], "unknown key; "),
+    "out_of_range": ("250", "0", ["0\n"], "must be 1 to 600000 ms, found"),
+    "wrong_type": ("250", "fast", ["fast"], "expected a whole number"),
+    "yaml_1_1_flag": ("once: true", "once: yes", ["yes"], "expected true or"),
+    "bad_class": ("class: high", "class: top", ["top"], "must be one of crit"),
+    "contradiction": (
+        "at_most_once: true",
+        "at_most_once: true, idempotent: true",
+        ["true, calls"],
+        "must be false",
+    ),
+    "no_owner": ("owner: ventas", "", ["taquilla:"], "is missing"),
+    "no_method": ("method: GET\n", "\n", ["leer:"], "is missing"),
+    "duplicate_kind": ("ayer:", "estado: ", ["estado:  "], "occurs twice, fir"),
+    "ambiguous": ("/compras/ayer", '"/{a}/{b}"', ['"/{a}'], "is ambiguous w"),
+    "bad_path": ("/gafetes/{gafete}", "/a//x?y", ["/a//"], "segment '' is ne"),
+    "unknown_kind": ("te/leer", "te/no", ["gafete/no"], "service gafete has"),
+    "unknown_service": ("gafete/leer", "no/leer", ["no/leer"], "there is no s"),
+    "cycle": (
+        "deadline_ms: 250",
+        "calls: [taquilla/compra]",
+        ["taquilla/"],
+        "calls form a cycle: taquilla/compra -> gafete/leer -> taquilla/co",
+    ),
+    "format": ("format: 1", "format:  2", ["2"], "must be 1"),
+    "alias": ("ventas", "&x [*x]", ["&x"], "aliases are not supported"),
+    "syntax": ("gafete:\n", "gafete\n", [": acceso"], "YAML: could not "),
+    "tab": ("  owner: plat", "\towner: plat", ["\towner"], "YAML: found ch"),
+    "reserved": (
+        "    gafete:",
+        "    defaults:",
+        ["gafete/leer", "defaults:\n      owner"],
+        "there is no service gafete",
+    ),
+    "five_at_once": (
+        GOOD,
+        GOOD.replace("owner: ventas", "owner: []")
+        .replace("class: critical", "class: top")
+        .replace("gafete/leer", "gafete/nada")
+        .replace("/compras/ayer", "compras")
+        .replace("250", "700000"),
+        ["[]", "top", "gafete/nada", "compras}", "700000"],
+        "expected text, found a list",
+    ),
+}
+
+
+def load(text: str) -> Document:
+    return parse_document({"f": text}).default_with(pytest.fail)
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_fault_is_reported_at_its_place(name: str) -> None:
+    old, new, anchors, message = FAULTS[name]
+    assert old in GOOD
+    text = GOOD.replace(old, new, 1)
+    findings = parse_document({"f": text}).error
+    places = [text.index(anchor) for anchor in anchors]
+    assert [(f.line, f.column) for f in findings] == [
+        (text.count("\n", 0, at) + 1, at - text.rfind("\n", 0, at))
+        for at in places
+    ], findings
+    assert findings[0].message.startswith(message)
+
+
+def test_classify_prefers_literals_and_applies_defaults() -> None:
+    document = load(GOOD)
+    cases = {
+        ("taquilla", "POST", "/compras"): "taquilla/compra",
+        ("taquilla", "GET", "/compras/7"): "taquilla/estado",
+        ("taquilla", "GET", "/compras/ayer"): "taquilla/ayer",
+        ("taquilla", "GET", "/compras/"): None,
+        ("taquilla", "PUT", "/compras"): None,
+        ("otro", "GET", "/compras"): None,
+    }
+    for request, expected in cases.items():
+        kind = document.classify(*request)
+        assert (kind and kind.qualified_name) == expected, request
+    purchase = document.kind("taquilla", "compra")
+    assert purchase and purchase.priority_class is PriorityClass.CRITICAL
+    assert (purchase.retry_budget, purchase.deadline_ms) == (2, 1_000)
+    assert (purchase.at_most_once, purchase.idempotent) == (True, False)
+    assert document.kind("gafete", "leer").idempotent  # type: ignore
+
+
+def test_partial_document_skips_only_missing_services() -> None:
+    section = split_sections(GOOD)["taquilla"]
+    assert parse_document({"f": section}).is_error()
+    assert parse_document({"f": section}, partial=True).is_ok()
+
+
+@pytest.mark.parametrize("text", [GOOD, FLOW], ids=["block", "flow"])
+def test_sections_join_to_the_same_document(text: str) -> None:
+    sections = split_sections(text)
+    joined = join_sections(sections)
+    assert split_sections(joined) == sections
+    whole, parts = load(text), parse_document(sections).ok
+    assert whole.owners == parts.owners == load(joined).owners
+    for name, service in whole.services.items():
+        expected = {n: k.to_json() for n, k in service.kinds.items()}
+        kinds = parts.services[name].kinds
+        assert {n: k.to_json() for n, k in kinds.items()} == expected
+
+
+def test_section_text_keeps_its_comments() -> None:
+    sections = split_sections(GOOD)
+    assert "# Sells tickets." in sections["taquilla"]
+    assert "# Badge team." in sections["gafete"]
+    assert sections["gafete"].startswith("format: 1\nservices:\n  gafete:\n")
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"deadline_ms": 0},
+        {"retry_budget": True},
+        {"weight": float("nan")},
+        {"at_most_once": True, "idempotent": True},
+        {"calls": ["x"]},
+        {"path": "x"},
+        {"name": "X"},
+    ],
+    ids=str,
+)
+def test_request_kind_rejects_bad_fields(fields: dict) -> None:
+    good = {"service": "s", "name": "k", "method": "GET", "path": "/"}
+    with pytest.raises(ValueError):
+        RequestKind(**{**good, **fields})
+
+
+FRAGMENTS = st.sampled_from(
+    [*GOOD.splitlines(keepends=True), "- ", "? ", ": ", "{", "]", "&a ", "*a"]
+    + ["!!x ", "!x ", "'", '"', "|\n", "\t", "\n", "---\n", "%YAML 9\n", "<<"]
+    + ["\x00", "\ud800", "é", "  " * 30, "- " * 50, "[" * 50, "1e999", "1:30"]
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=400)
+@given(
+    st.text()
+    | st.lists(FRAGMENTS, max_size=40).map("".join)
+    | st.tuples(st.integers(0, len(GOOD)), FRAGMENTS).map(
+        lambda cut: GOOD[: cut[0]] + cut[1] + GOOD[cut[0] :]
+    )
+)
+def test_parser_never_raises(text: str) -> None:
+    result = parse_document({"f": text})
+    if result.is_ok():
+        sections = split_sections(text)
+        assert parse_document(sections).is_ok()
+        assert split_sections(join_sections(sections)) == sections
+    else:
+        assert result.error
+        assert all(f.line > 0 and f.column > 0 for f in result.error)
