--- /dev/null
+++ b/packages/protocol/radishtray_protocol/_frames.py
@@ -0,0 +1,200 @@
+"""Length-prefixed Thrift frames between nodes."""
+
+import struct
+from collections.abc import Callable
+from typing import TypeVar
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer, TTransportBase
+
+from radishtray_protocol._gen import ttypes
+
+_T = TypeVar("_T")
+
+_LENGTH = struct.Struct("!I")
+_LENGTH_BYTES = _LENGTH.size
+DEFAULT_MAX_FRAME_BYTES = 4 * 1024 * 1024
+
+
+class FrameError(Exception):
+    """A frame is malformed or too large.
+
+    Attributes:
+        reason: Label for the counter of rejected frames.
+        offset: Bytes of the stream before the frame.
+    """
+
+    def __init__(self, reason: str, offset: int, detail: str) -> None:
+        """Describes the rejected frame.
+
+        Args:
+            reason: Label for the counter of rejected frames.
+            offset: Bytes of the stream before the frame.
+            detail: What is wrong with the frame.
+        """
+        super().__init__(f"frame at byte {offset}: {detail}")
+        self.reason = reason
+        self.offset = offset
+
+
+class _Sink(TTransportBase):
+    """Keeps the one write of the accelerated encoder."""
+
+    __slots__ = ("chunks",)
+
+    def __init__(self) -> None:
+        self.chunks: list[bytes] = []
+
+    def write(self, data: bytes) -> None:
+        self.chunks.append(data)
+
+
+_sink = _Sink()
+_encoder = TBinaryProtocolAccelerated(_sink)
+
+
+def encode_struct(value: object) -> bytes:
+    """Encodes one generated struct with the binary protocol."""
+    value.write(_encoder)  # type: ignore[attr-defined]
+    chunks = _sink.chunks
+    data = chunks[0] if len(chunks) == 1 else b"".join(chunks)
+    chunks.clear()
+    return data
+
+
+def decode_struct(value: _T, data: bytes) -> _T:
+    """Fills a generated struct from its binary encoding.
+
+    Args:
+        value: An empty instance of the expected struct.
+        data: The whole encoding.
+
+    Returns:
+        The same instance, filled.
+
+    Raises:
+        FrameError: If the encoding is malformed or lacks a required field.
+    """
+    protocol = TBinaryProtocolAccelerated(
+        TMemoryBuffer(data),
+        string_length_limit=len(data),
+        container_length_limit=len(data),
+    )
+    try:
+        value.read(protocol)  # type: ignore[attr-defined]
+        value.validate()  # type: ignore[attr-defined]
+    except Exception as error:
+        # The decoder raises many types (EOFError, TypeError, UnicodeError,
+        # struct.error, TProtocolException) depending on the damage.
+        raise FrameError("malformed", 0, f"not a valid struct: {error}") from (
+            error
+        )
+    return value
+
+
+def encode_frame(frame: "ttypes.Frame") -> bytes:
+    """Encodes a frame with its length prefix."""
+    data = encode_struct(frame)
+    return _LENGTH.pack(len(data)) + data
+
+
+class FrameDecoder:
+    """Splits a byte stream into frames.
+
+    Attributes:
+        max_frame_bytes: Longest accepted frame.
+    """
+
+    __slots__ = ("_buffer", "_offset", "max_frame_bytes")
+
+    def __init__(self, max_frame_bytes: int = DEFAULT_MAX_FRAME_BYTES) -> None:
+        """Starts at the beginning of a stream."""
+        self.max_frame_bytes = max_frame_bytes
+        self._buffer = b""
+        self._offset = 0
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes received that do not yet form a whole frame."""
+        return len(self._buffer)
+
+    def feed(
+        self, data: bytes, on_frame: Callable[["ttypes.Frame"], None]
+    ) -> None:
+        """Takes received bytes and passes on each complete frame.
+
+        Args:
+            data: Next bytes of the stream.
+            on_frame: Receives each frame in order.
+
+        Raises:
+            FrameError: If a frame is malformed or too large. The stream
+                cannot be used afterwards.
+        """
+        buffer = self._buffer + data if self._buffer else data
+        position = 0
+        size = len(buffer)
+        while size - position >= _LENGTH_BYTES:
+            (length,) = _LENGTH.unpack_from(buffer, position)
+            if length > self.max_frame_bytes:
+                raise FrameError(
+                    "oversized",
+                    self._offset + position,
+                    f"{length} bytes exceed {self.max_frame_bytes}",
+                )
+            end = position + _LENGTH_BYTES + length
+            if end > size:
+                break
+            frame = self._decode(buffer, position, end)
+            position = end
+            on_frame(frame)
+        self._buffer = buffer[position:]
+        self._offset += position
+
+    def _decode(self, buffer: bytes, start: int, end: int) -> "ttypes.Frame":
+        offset = self._offset + start
+        try:
+            frame = decode_struct(
+                ttypes.Frame(), buffer[start + _LENGTH_BYTES : end]
+            )
+            _check_nested(frame)
+        except FrameError as error:
+            raise FrameError(error.reason, offset, str(error)) from error
+        return frame
+
+
+_NESTED_FIELDS = tuple(
+    name for name in ttypes.Frame.__slots__ if name not in ("call", "answer")
+)
+
+
+def _check_nested(frame: "ttypes.Frame") -> None:
+    """Raises FrameError unless exactly one message with all fields is set."""
+    try:
+        if frame.call is not None:
+            frame.call.validate()
+            frame.call.context.validate()
+            return
+        if frame.answer is not None:
+            frame.answer.validate()
+            return
+        messages = [
+            message
+            for name in _NESTED_FIELDS
+            if (message := getattr(frame, name)) is not None
+        ]
+        if len(messages) != 1:
+            raise FrameError("malformed", 0, f"{len(messages)} messages set")
+        messages[0].validate()
+        states = frame.attempt_states
+        for state in states.states if states is not None else ():
+            state.validate()
+            if state.answer is not None:
+                state.answer.validate()
+        records = frame.key_records
+        for record in records.records if records is not None else ():
+            record.validate()
+    except FrameError:
+        raise
+    except Exception as error:
+        raise FrameError("malformed", 0, f"missing field: {error}") from error
