Verify node proofs with the shared cluster keys

Cause: the handshake had its own argument order for signatures. Change: Signer follows ClusterKeys: verify(key_id, tag, *parts). Result: types pass.

--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -44,16 +44,16 @@
 class Signer(TypingProtocol):
     """Signs and verifies with the cluster keys."""
 
-    def sign(self, data: bytes) -> tuple[str, bytes]:
+    def sign(self, *parts: bytes) -> tuple[str, bytes]:
         """Returns the key id and the tag."""
         ...
 
-    def verify(self, key_id: str, data: bytes, tag: bytes) -> bool:
+    def verify(self, key_id: str, tag: bytes, *parts: bytes) -> bool:
         """Returns whether the tag is valid."""
         ...
 
     @property
-    def key_ids(self) -> list[str]:
+    def key_ids(self) -> tuple[str, ...]:
         """Ids of all keys, the signing one first."""
         ...
 
@@ -121,7 +121,7 @@
             incarnation=identity.incarnation,
             nonce=secrets.token_bytes(_NONCE_BYTES),
             connection_epoch=epoch,
-            key_ids=signer.key_ids,
+            key_ids=list(signer.key_ids),
         )
         self._decoder = FrameDecoder(_HANDSHAKE_MAX_FRAME_BYTES)
         self._handle = self._receive_hello
@@ -186,7 +186,7 @@
         proof = frame.proof
         side = _ACCEPTING_SIDE if self._is_opening else _OPENING_SIDE
         if proof is None or not self._signer.verify(
-            proof.key_id, self._transcript(side), proof.tag
+            proof.key_id, proof.tag, self._transcript(side)
         ):
             self._reject("handshake_unauthenticated")
             return
