--- a/packages/protocol/radishtray_protocol/__init__.py
+++ b/packages/protocol/radishtray_protocol/__init__.py
@@ -1,5 +1,12 @@
 """Wire messages, document format and platform objects."""
 
+from radishtray_protocol._cluster_keys import (
+    MAX_KEY_ID_BYTES,
+    TAG_BYTES,
+    ClusterKeys,
+    ClusterKeysError,
+    ClusterKeysFault,
+)
 from radishtray_protocol._document import (
     DEFAULTS_SECTION,
     Document,
@@ -27,6 +34,11 @@
 __all__ = [
     "DEFAULTS_SECTION",
     "DEFAULT_MAX_FRAME_BYTES",
+    "MAX_KEY_ID_BYTES",
+    "TAG_BYTES",
+    "ClusterKeys",
+    "ClusterKeysError",
+    "ClusterKeysFault",
     "Document",
     "Finding",
     "FrameDecoder",
