Add request keys, slot tables and the key owner

Change: RequestKey, SlotTable with functions that compute the next table, and KeyOwner with records, bounds, low-water mark and record transfer. A promise makes an owner refuse issue times before their boundary is written, so a lost answer of that write is harmless. Ruled out: a record key of (service, key), because finish() names the key only; one key in two services of a node is refused as key_reused.

--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -4,12 +4,56 @@
 """
 
 from radishtray_state._clock import Clock, ManualClock, SystemClock
+from radishtray_state._key_owner import (
+    KeyBounds,
+    KeyDecision,
+    KeyOwner,
+    KeyRecord,
+    KeyRecords,
+    KeyVerdict,
+)
+from radishtray_state._key_slots import (
+    SlotInterval,
+    SlotOwner,
+    SlotTable,
+    claim_free,
+    extend_horizon,
+    hand_over,
+    prune,
+    rebalance,
+    replace_dead,
+)
 from radishtray_state._refusal import OutcomeFamily, RefusalReason
+from radishtray_state._request_key import (
+    SLOT_COUNT,
+    KeyFault,
+    KeyParseError,
+    RequestKey,
+)
 
 __all__ = [
+    "SLOT_COUNT",
     "Clock",
+    "KeyBounds",
+    "KeyDecision",
+    "KeyFault",
+    "KeyOwner",
+    "KeyParseError",
+    "KeyRecord",
+    "KeyRecords",
+    "KeyVerdict",
     "ManualClock",
     "OutcomeFamily",
     "RefusalReason",
+    "RequestKey",
+    "SlotInterval",
+    "SlotOwner",
+    "SlotTable",
     "SystemClock",
+    "claim_free",
+    "extend_horizon",
+    "hand_over",
+    "prune",
+    "rebalance",
+    "replace_dead",
 ]
