--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -3,7 +3,18 @@
 No module of this package does I/O. Clocks, randomness and sends are passed in.
 """
 
-from radishtray_state._clock import Clock, ManualClock, SystemClock
+from radishtray_state._admission import (
+    ADMISSION_POLICIES,
+    AdmissionController,
+    AdmissionPolicy,
+    Ticket,
+    admission_policy,
+)
+from radishtray_state._clock import (
+    Clock,
+    ManualClock,
+    SystemClock,
+)
 from radishtray_state._key_owner import (
     KeyBounds,
     KeyDecision,
@@ -30,9 +41,20 @@
     KeyParseError,
     RequestKey,
 )
+from radishtray_state._selection import (
+    SELECTION_POLICIES,
+    Candidate,
+    UpstreamSelector,
+    selection_policy,
+)
 
 __all__ = [
+    "ADMISSION_POLICIES",
+    "SELECTION_POLICIES",
     "SLOT_COUNT",
+    "AdmissionController",
+    "AdmissionPolicy",
+    "Candidate",
     "Clock",
     "KeyBounds",
     "KeyDecision",
@@ -50,10 +72,14 @@
     "SlotOwner",
     "SlotTable",
     "SystemClock",
+    "Ticket",
+    "UpstreamSelector",
+    "admission_policy",
     "claim_free",
     "extend_horizon",
     "hand_over",
     "prune",
     "rebalance",
     "replace_dead",
+    "selection_policy",
 ]
