--- a/packages/protocol/radishtray_protocol/__init__.py
+++ b/packages/protocol/radishtray_protocol/__init__.py
@@ -1,5 +1,12 @@
 """Wire messages, document format and platform objects."""
 
+from radishtray_protocol._cluster_keys import (
+    MAX_KEY_ID_BYTES,
+    TAG_BYTES,
+    ClusterKeys,
+    ClusterKeysError,
+    ClusterKeysFault,
+)
 from radishtray_protocol._document import (
     DEFAULTS_SECTION,
     Document,
@@ -14,6 +21,15 @@
     PriorityClass,
 )
 from radishtray_protocol._findings import Finding
+from radishtray_protocol._frames import (
+    DEFAULT_MAX_FRAME_BYTES,
+    FrameDecoder,
+    FrameError,
+    decode_struct,
+    encode_frame,
+    encode_struct,
+)
+from radishtray_protocol._gen import ttypes as wire
 from radishtray_protocol._parse import (
     ParsedSource,
     combine_sources,
@@ -41,14 +57,22 @@
 __all__ = [
     "DEFAULTS_KEYS",
     "DEFAULTS_SECTION",
+    "DEFAULT_MAX_FRAME_BYTES",
     "KIND_KEYS",
     "MAX_HISTORY_CHANGES",
+    "MAX_KEY_ID_BYTES",
     "MAX_VALUE_BYTES",
     "RELEASE_OBJECT",
+    "TAG_BYTES",
     "Change",
+    "ClusterKeys",
+    "ClusterKeysError",
+    "ClusterKeysFault",
     "DigestChange",
     "Document",
     "Finding",
+    "FrameDecoder",
+    "FrameError",
     "KeySpec",
     "KeyType",
     "ParsedSource",
@@ -59,6 +83,9 @@
     "ServiceSection",
     "combine_sources",
     "decode_release",
+    "decode_struct",
+    "encode_frame",
+    "encode_struct",
     "join_sections",
     "next_release",
     "parse_document",
@@ -66,4 +93,5 @@
     "section_digest",
     "section_object",
     "split_sections",
+    "wire",
 ]
