Add radishtrayctl with config, status and drain

Cause: teams edit sections of one document that takes effect as a unit. Change: apply composes the whole document from the release in force and the edited sections, validates it, and makes one conditional update; a conflict in other sections is rebased, one in the same section is reported, and a lost answer is settled by the change id in the history. show writes base lines, so that apply knows what a file started from. Ruled out: overwriting sections that a whole-document file merely carries; an earlier version from the history is left as in force.

--- /dev/null
+++ b/packages/ctl/radishtray_ctl/_arguments.py
@@ -0,0 +1,232 @@
+"""Command line and settings of radishtrayctl."""
+
+import argparse
+import getpass
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Final
+
+from radishtray_ctl._errors import CommandError, ExitCode
+from radishtray_transport.platform_client import parse_base_url
+
+_ENVIRONMENT_PREFIX: Final = "RADISHTRAY_"
+_MAX_AUTHOR_CHARS: Final = 200
+
+
+class Setting:
+    """A setting that comes from a flag or an environment variable."""
+
+    __slots__ = ("default", "help", "name", "parse")
+
+    def __init__(
+        self,
+        name: str,
+        parse: Callable[[str], Any],
+        default: str | None,
+        help_text: str,
+    ) -> None:
+        """Describes the setting.
+
+        Args:
+            name: Name with underscores; the flag has hyphens.
+            parse: Turns the text into a value or raises ValueError.
+            default: Text if the setting is absent; None if it is required.
+            help_text: What it is, with its unit.
+        """
+        self.name = name
+        self.parse = parse
+        self.default = default
+        self.help = help_text
+
+    @property
+    def flag(self) -> str:
+        """The command line flag."""
+        return "--" + self.name.replace("_", "-")
+
+    @property
+    def variable(self) -> str:
+        """The environment variable."""
+        return _ENVIRONMENT_PREFIX + self.name.upper()
+
+
+def _base_urls(text: str) -> tuple[str, ...]:
+    urls = tuple(url.strip() for url in text.split(",") if url.strip())
+    if not urls:
+        raise ValueError("expected at least one URL")
+    for url in urls:
+        parse_base_url(url)
+    return urls
+
+
+def _seconds(text: str) -> float:
+    seconds = float(text)
+    if not 0 < seconds <= 600:
+        raise ValueError("must be above 0 and at most 600 s")
+    return seconds
+
+
+def _author(text: str) -> str:
+    author = text or getpass.getuser()
+    if len(author) > _MAX_AUTHOR_CHARS or not author.isprintable():
+        raise ValueError(f"expected at most {_MAX_AUTHOR_CHARS} characters")
+    return author
+
+
+def _node(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError("expected host:port")
+    return host.strip("[]"), int(port)
+
+
+_TIMEOUT = Setting("timeout_s", _seconds, "5", "longest wait for one answer, s")
+PLATFORM_SETTINGS: Final = (
+    Setting(
+        "platform",
+        _base_urls,
+        None,
+        "http://IP:PORT of the platform's object API; a comma separates"
+        " several, which are tried in turn",
+    ),
+    Setting("platform_token", str, "", "bearer token of the object API"),
+    _TIMEOUT,
+)
+AUTHOR_SETTINGS: Final = (
+    Setting("author", _author, "", "name for the history; default: login name"),
+)
+NODE_SETTINGS: Final = (
+    Setting("node", _node, None, "HOST:PORT of the node's operators' listener"),
+    Setting("operator_token", str, "", "bearer token of the operators' API"),
+    _TIMEOUT,
+)
+
+
+def read_settings(
+    settings: Sequence[Setting],
+    options: argparse.Namespace,
+    environment: Mapping[str, str],
+) -> None:
+    """Replaces the texts in the options by checked values, all at once.
+
+    Args:
+        settings: The settings of the command.
+        options: Parsed flags; a flag wins over its environment variable.
+        environment: Environment variables.
+
+    Raises:
+        CommandError: With one line for each fault.
+    """
+    faults = []
+    for setting in settings:
+        place, text = setting.flag, getattr(options, setting.name)
+        if text is None and setting.variable in environment:
+            place, text = setting.variable, environment[setting.variable]
+        if text is None:
+            text = setting.default
+        if text is None:
+            faults.append(
+                f"{setting.flag}: is required (or {setting.variable})"
+            )
+            continue
+        try:
+            setattr(options, setting.name, setting.parse(text))
+        except ValueError as error:
+            faults.append(f"{place}: {error}")
+    if faults:
+        raise CommandError(ExitCode.USAGE, "usage", "; ".join(faults))
+
+
+class Command:
+    """One command and what its parser needs."""
+
+    __slots__ = ("add_arguments", "help", "name", "run", "settings")
+
+    def __init__(
+        self,
+        name: str,
+        help_text: str,
+        run: Callable[..., Any],
+        settings: Sequence[Setting],
+        add_arguments: Callable[[argparse.ArgumentParser], None] | None,
+    ) -> None:
+        """Describes the command.
+
+        Args:
+            name: Words of the command, such as `config apply`.
+            help_text: One sentence.
+            run: Function that runs it.
+            settings: Settings that it reads.
+            add_arguments: Adds its own arguments, if it has any.
+        """
+        self.name = name
+        self.help = help_text
+        self.run = run
+        self.settings = tuple(settings)
+        self.add_arguments = add_arguments
+
+
+COMMANDS: Final[dict[str, Command]] = {}
+
+
+def command(
+    name: str,
+    help_text: str,
+    *settings: Setting,
+    arguments: Callable[[argparse.ArgumentParser], None] | None = None,
+) -> Callable[[Callable[..., Any]], Callable[..., Any]]:
+    """Registers the decorated function as a command.
+
+    Args:
+        name: Words of the command.
+        help_text: One sentence.
+        *settings: Settings that it reads.
+        arguments: Adds its own arguments, if it has any.
+    """
+
+    def register(run: Callable[..., Any]) -> Callable[..., Any]:
+        COMMANDS[name] = Command(name, help_text, run, settings, arguments)
+        return run
+
+    return register
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Returns the parser with all registered commands."""
+    parser = argparse.ArgumentParser(
+        prog="radishtrayctl",
+        description="Changes the configuration document and runs nodes.",
+        epilog="Exit codes: 0 done; 1 findings or refused; 2 usage;"
+        " 3 no answer or outcome unknown. Each setting can also be given as"
+        " an environment variable: --platform-token is"
+        " RADISHTRAY_PLATFORM_TOKEN. The flag wins.",
+    )
+    groups = {"": parser.add_subparsers(metavar="COMMAND", required=True)}
+    for entry in COMMANDS.values():
+        group, _, word = entry.name.rpartition(" ")
+        if group not in groups:
+            text = "check, change and show the configuration document"
+            inner = groups[""].add_parser(group, help=text, description=text)
+            groups[group] = inner.add_subparsers(
+                metavar="COMMAND", required=True
+            )
+        sub = groups[group].add_parser(
+            word, help=entry.help, description=entry.help
+        )
+        _add_arguments(sub, entry)
+    return parser
+
+
+def _add_arguments(parser: argparse.ArgumentParser, entry: Command) -> None:
+    if entry.add_arguments is not None:
+        entry.add_arguments(parser)
+    for setting in entry.settings:
+        default = f" (default: {setting.default})" if setting.default else ""
+        parser.add_argument(
+            setting.flag,
+            dest=setting.name,
+            metavar="TEXT",
+            help=f"{setting.help}{default} [{setting.variable}]",
+        )
+    parser.add_argument(
+        "--json", action="store_true", help="print one JSON object"
+    )
+    parser.set_defaults(command=entry)
--- /dev/null
+++ b/packages/ctl/radishtray_ctl/_edits.py
@@ -0,0 +1,182 @@
+"""What a team wants to change, and the versions that it started from."""
+
+import re
+from collections.abc import Collection, Mapping
+from typing import Final
+
+from radishtray_ctl._errors import CommandError, ExitCode
+from radishtray_protocol import Release, section_digest, split_sections
+
+_BASE_LINE: Final = re.compile(
+    r"^# radishtray: section ([a-z0-9_-]+), generation \d+,"
+    r" sha256 ([0-9a-f]{64})$",
+    re.MULTILINE,
+)
+
+
+def base_line(section: str, generation: int, digest: str) -> str:
+    """Returns the line by which `apply` knows what a file started from."""
+    return (
+        f"# radishtray: section {section}, generation {generation},"
+        f" sha256 {digest}"
+    )
+
+
+class Edit:
+    """New section texts and what they are based on.
+
+    Attributes:
+        texts: New text by section name; None removes the section.
+        bases: Digest that each edited section must still have; None if the
+            section must be absent. A missing name means that the base is the
+            release at the time of the first read.
+        stale: Sections left alone, because the file holds the version that it
+            started from or an earlier one of the history.
+        note: Text for the history.
+    """
+
+    __slots__ = ("bases", "note", "stale", "texts")
+
+    def __init__(
+        self,
+        texts: Mapping[str, str | None],
+        bases: Mapping[str, str | None],
+        stale: Collection[str] = (),
+        note: str = "",
+    ) -> None:
+        """Holds an edit; the class describes the parts."""
+        self.texts = dict(texts)
+        self.bases = dict(bases)
+        self.stale = sorted(stale)
+        self.note = note
+
+    def digests(self) -> dict[str, str | None]:
+        """Returns the new digest by section name."""
+        return {
+            name: None if text is None else section_digest(text)
+            for name, text in self.texts.items()
+        }
+
+
+def build_edit(
+    files: Mapping[str, str],
+    release: Release | None,
+    *,
+    only: Collection[str] = (),
+    remove: Collection[str] = (),
+    base_generation: int | None = None,
+) -> Edit:
+    """Finds the sections that a team edited in its files.
+
+    Args:
+        files: Text by file name; without findings when taken alone.
+        release: Release in force.
+        only: Sections to apply; all of the files if empty.
+        remove: Sections to remove.
+        base_generation: Generation that the files started from.
+
+    Raises:
+        CommandError: If a named section or the base generation is missing.
+    """
+    found: dict[str, str] = {}
+    bases: dict[str, str | None] = {}
+    for text in files.values():
+        found.update(split_sections(text))
+        bases.update(_BASE_LINE.findall(text))
+    if base_generation is not None:
+        bases = _bases_at(release, base_generation, [*found, *remove])
+    _require(only, found, "the files")
+    current = release.sections if release else {}
+    _require(remove, current, "the release")
+    chosen = {n: t for n, t in found.items() if not only or n in only}
+    edited: dict[str, str | None] = dict.fromkeys(remove)
+    stale = []
+    for name, text in chosen.items():
+        digest = section_digest(text)
+        if digest == current.get(name):
+            continue
+        if name in bases:
+            is_stale = digest == bases[name]
+        else:
+            # A document of several sections may hold other teams' sections
+            # as they were; an earlier version there is no edit.
+            is_stale = (
+                len(chosen) > 1
+                and not only
+                and digest in _past_digests(release, name)
+            )
+        if is_stale:
+            stale.append(name)
+        else:
+            edited[name] = text
+    return Edit(edited, {n: d for n, d in bases.items() if n in edited}, stale)
+
+
+def build_rollback(
+    release: Release,
+    texts: Mapping[str, str],
+    generation: int,
+    only: Collection[str] = (),
+) -> Edit:
+    """Returns the edit that restores an earlier generation.
+
+    Args:
+        release: Release in force.
+        texts: Section texts of the earlier generation.
+        generation: The earlier generation.
+        only: Sections to restore; all if empty.
+    """
+    names = set(only) or {*release.sections, *texts}
+    return Edit(
+        {name: texts.get(name) for name in sorted(names)},
+        {name: release.sections.get(name) for name in names},
+        note=f"rollback to generation {generation}",
+    )
+
+
+def sections_at(release: Release | None, generation: int) -> dict[str, str]:
+    """Returns the digests of a generation within the history's reach.
+
+    Raises:
+        CommandError: If the history does not reach the generation.
+    """
+    sections = release.sections_at(generation) if release else None
+    if sections is None:
+        raise CommandError(
+            ExitCode.REFUSED,
+            "unknown_generation",
+            f"the history does not reach generation {generation}",
+        )
+    return sections
+
+
+def _bases_at(
+    release: Release | None, generation: int, names: Collection[str]
+) -> dict[str, str | None]:
+    if generation == 0:
+        return dict.fromkeys(names)
+    sections = sections_at(release, generation)
+    return {name: sections.get(name) for name in names}
+
+
+def _past_digests(release: Release | None, name: str) -> set[str | None]:
+    history = release.history if release else ()
+    return {
+        change.sections[name].old
+        for change in history
+        if name in change.sections
+    }
+
+
+def _require(
+    names: Collection[str], known: Collection[str], place: str
+) -> None:
+    missing = sorted(set(names) - set(known))
+    if missing:
+        raise CommandError(
+            ExitCode.REFUSED,
+            "unknown_section",
+            f"{place} have no section {', '.join(missing)}"
+            if place == "the files"
+            else f"{place} has no section {', '.join(missing)}",
+        )
--- a/packages/testing/radishtray_testing/tests/test_platform_client.py
+++ b/packages/testing/radishtray_testing/tests/test_platform_client.py
@@ -53,6 +53,7 @@
     """The reactor's connections with timers that the test advances."""
 
     def __init__(self, clock: Clock) -> None:
+        """Joins the real connections and the clock."""
         self.connectTCP = reactor.connectTCP
         self.callLater = clock.callLater
 
