--- a/packages/protocol/radishtray_protocol/_parse.py
+++ b/packages/protocol/radishtray_protocol/_parse.py
@@ -1,5 +1,6 @@
 """Document text to Document, with all findings at once."""
 
+import difflib
 from collections.abc import Iterator, Mapping
 from typing import Any, Final
 
@@ -138,7 +139,14 @@
 class _SourceParser:
     """Walks the nodes of one text and collects drafts and findings."""
 
-    __slots__ = ("_findings", "_section", "_sections", "_source", "_text")
+    __slots__ = (
+        "_findings",
+        "_misspelt",
+        "_section",
+        "_sections",
+        "_source",
+        "_text",
+    )
 
     def __init__(self, source: str) -> None:
         self._source = source
@@ -146,6 +154,8 @@
         self._section = ""
         self._sections: list[_SectionDraft] = []
         self._findings: list[Finding] = []
+        # Starts of mappings, and the known keys misspelt there.
+        self._misspelt: set[tuple[int, str]] = set()
 
     def parse(self, text: str) -> ParsedSource:
         self._parse_text(text)
@@ -171,9 +181,11 @@
         seen = {}
         for name, _, value in self._entries(root, "", _TOP_KEYS):
             seen[name] = value
-        if "format" not in seen:
+        if self._is_missing(root, "format"):
             self._report(root, "format", f"is missing; add {_format_line()}")
-        elif scalar_value(seen["format"]) != DOCUMENT_FORMAT:
+        elif (
+            "format" in seen and scalar_value(seen["format"]) != DOCUMENT_FORMAT
+        ):
             self._report(seen["format"], "format", f"must be {DOCUMENT_FORMAT}")
         if "defaults" in seen:
             self._parse_defaults(seen["defaults"])
@@ -206,14 +218,12 @@
         draft = _SectionDraft(self._source, name)
         self._sections.append(draft)
         self._check_size(node)
-        has_kinds = False
         for key, _, value in self._entries(node, "", ("owner", "kinds")):
             if key == "owner":
                 self._read(OWNER_KEY, value, key, draft.values)
             else:
-                has_kinds = True
                 self._parse_kinds(draft, value)
-        if isinstance(node, yaml.MappingNode) and not has_kinds:
+        if self._is_missing(node, "kinds"):
             self._report(node, "kinds", "is missing")
         self._require_owner(node, draft)
 
@@ -240,16 +250,11 @@
     ) -> _KindDraft:
         kind = _KindDraft(_Located(key_node, name))
         prefix = f"kinds.{name}"
-        present = set()
         for key, _, value in self._entries(node, prefix, KIND_KEYS):
-            present.add(key)
             self._read(KIND_KEYS[key], value, f"{prefix}.{key}", kind.values)
-        if isinstance(node, yaml.MappingNode):
-            for spec in KIND_KEYS.values():
-                if spec.required and spec.name not in present:
-                    self._report(
-                        key_node, f"{prefix}.{spec.name}", "is missing"
-                    )
+        for spec in KIND_KEYS.values():
+            if spec.required and self._is_missing(node, spec.name):
+                self._report(key_node, f"{prefix}.{spec.name}", "is missing")
         self._check_kind(kind, prefix)
         return kind
 
@@ -334,15 +339,33 @@
                 continue
             seen[name] = key_node.start_mark.line + 1
             if allowed is not None and name not in allowed:
-                known = ", ".join(allowed)
-                self._report(key_node, key, f"unknown key; known: {known}")
+                self._report_unknown_key(node, key_node, key, allowed)
                 continue
             yield name, key_node, value
 
+    def _report_unknown_key(
+        self,
+        node: yaml.Node,
+        key_node: yaml.Node,
+        key: str,
+        allowed: tuple[str, ...] | Mapping[str, KeySpec],
+    ) -> None:
+        close = difflib.get_close_matches(key_node.value, allowed, 1)
+        # A misspelt key is one finding, not also a missing key.
+        self._misspelt.update((node.start_mark.index, word) for word in close)
+        hint = f", did you mean {close[0]}?" if close else ""
+        known = ", ".join(allowed)
+        self._report(key_node, key, f"unknown key{hint}; known: {known}")
+
+    def _is_missing(self, node: yaml.Node, name: str) -> bool:
+        return (
+            isinstance(node, yaml.MappingNode)
+            and not any(key.value == name for key, _ in node.value)
+            and (node.start_mark.index, name) not in self._misspelt
+        )
+
     def _require_owner(self, node: yaml.Node, draft: _SectionDraft) -> None:
-        if not isinstance(node, yaml.MappingNode):
-            return
-        if not any(key.value == "owner" for key, _ in node.value):
+        if self._is_missing(node, "owner"):
             name = draft.name
             self._report_at(name.line, name.column, "owner", "is missing")
 
