--- a/packages/protocol/radishtray_protocol/_gen/ttypes.py
+++ b/packages/protocol/radishtray_protocol/_gen/ttypes.py
@@ -20,17 +20,20 @@
     NEVER_SEEN = 0
     RUNNING = 1
     DONE = 2
+    FORGOTTEN = 3
 
     _VALUES_TO_NAMES = {
         0: "NEVER_SEEN",
         1: "RUNNING",
         2: "DONE",
+        3: "FORGOTTEN",
     }
 
     _NAMES_TO_VALUES = {
         "NEVER_SEEN": 0,
         "RUNNING": 1,
         "DONE": 2,
+        "FORGOTTEN": 3,
     }
 
 
--- a/packages/protocol/radishtray_protocol/wire.thrift
+++ b/packages/protocol/radishtray_protocol/wire.thrift
@@ -68,6 +68,8 @@
   NEVER_SEEN = 0
   RUNNING = 1
   DONE = 2
+  /** The attempt may have run; its record is gone. */
+  FORGOTTEN = 3
 }
 
 struct AttemptQuery {
