--- /dev/null
+++ b/packages/state/radishtray_state/_retry_budget.py
@@ -0,0 +1,156 @@
+"""Retry budget of one running request, split over its attempts.
+
+Units are only moved, never created: at any time the remaining units, the
+shares of unsettled attempts and the spent units add up to the budget.
+"""
+
+MAX_BUDGET = 2**15 - 1  # The budget travels as a signed 16-bit integer.
+
+
+class AttemptGrant:
+    """Permission for one attempt, with the budget that it passes down."""
+
+    __slots__ = ("_is_open", "_is_retry", "_ledger", "_share")
+
+    def __init__(
+        self, ledger: "RetryLedger", share: int, is_retry: bool
+    ) -> None:
+        """Creates an open grant; only `RetryLedger.begin` does so.
+
+        Args:
+            ledger: The ledger that the share was taken from.
+            share: Units passed down with the attempt.
+            is_retry: Whether the attempt itself cost one unit.
+        """
+        self._ledger = ledger
+        self._share = share
+        self._is_retry = is_retry
+        self._is_open = True
+
+    @property
+    def share(self) -> int:
+        """Units that the attempt's receiver may spend."""
+        return self._share
+
+    @property
+    def is_retry(self) -> bool:
+        """Whether the attempt itself cost one unit."""
+        return self._is_retry
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the share is neither settled nor forfeited."""
+        return self._is_open
+
+
+class RetryLedger:
+    """Budget of one running request; its concurrent calls share it.
+
+    An attempt receives half of the remaining units, rounded down. The other
+    half stays here, because the whole share is lost with a lost answer and
+    this node must still be able to retry then.
+
+    >>> ledger = RetryLedger(3)
+    >>> first = ledger.begin(is_retry=False)
+    >>> first.share, ledger.remaining
+    (1, 2)
+    >>> ledger.settle(first, used=0), ledger.remaining
+    (1, 3)
+    """
+
+    __slots__ = ("_budget", "_is_closed", "_outstanding", "_remaining")
+
+    def __init__(self, budget: int = 0) -> None:
+        """Creates a ledger.
+
+        Args:
+            budget: Units granted to the request, from 0 to 32767. A call
+                without a context has none.
+
+        Raises:
+            ValueError: If the budget is out of range.
+        """
+        if not 0 <= budget <= MAX_BUDGET:
+            raise ValueError(
+                f"retry budget {budget} is not within 0..{MAX_BUDGET}"
+            )
+        self._budget = budget
+        self._remaining = budget
+        self._outstanding = 0
+        self._is_closed = False
+
+    @property
+    def remaining(self) -> int:
+        """Units that can still be spent or passed down from here."""
+        return self._remaining
+
+    @property
+    def outstanding(self) -> int:
+        """Units passed down with attempts that are not settled."""
+        return self._outstanding
+
+    @property
+    def spent(self) -> int:
+        """Units spent here or below, or lost with an answer."""
+        return self._budget - self._remaining - self._outstanding
+
+    def begin(self, is_retry: bool) -> AttemptGrant | None:
+        """Grants one attempt.
+
+        Args:
+            is_retry: True for a retry or a hedge, which costs one unit.
+
+        Returns:
+            The grant, or None if a retry has no unit left.
+        """
+        remaining = self._remaining
+        if is_retry:
+            if remaining == 0:
+                return None
+            remaining -= 1
+        share = remaining >> 1
+        self._remaining = remaining - share
+        self._outstanding += share
+        return AttemptGrant(self, share, is_retry)
+
+    def settle(self, grant: AttemptGrant, used: int) -> int:
+        """Takes back the unused part of a share after the attempt's answer.
+
+        Args:
+            grant: Grant of the answered attempt.
+            used: Units spent below, as stated by the answer.
+
+        Returns:
+            The units taken back: 0 if the grant is closed or belongs to
+            another ledger. A value out of range closes the grant, and the
+            whole share counts as spent.
+        """
+        if not grant._is_open or grant._ledger is not self:
+            return 0
+        grant._is_open = False
+        share = grant._share
+        self._outstanding -= share
+        if not 0 <= used <= share or self._is_closed:
+            return 0
+        self._remaining += share - used
+        return share - used
+
+    def forfeit(self, grant: AttemptGrant) -> None:
+        """Counts the whole share as spent because the answer is lost."""
+        self.settle(grant, grant._share)
+
+    def close(self) -> int:
+        """Ends the request and returns the units to state in its answer.
+
+        Shares of unsettled attempts count as spent. No unit can be spent or
+        taken back afterwards; otherwise a branch that is still running could
+        spend units that the answer has already returned to the parent.
+
+        Returns:
+            Units spent or outstanding at the first call of this method.
+        """
+        if not self._is_closed:
+            self._is_closed = True
+            self._budget -= self._remaining
+            self._remaining = 0
+        return self._budget
