--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -10,11 +10,26 @@
     Ticket,
     admission_policy,
 )
+from radishtray_state._attempts import (
+    AttemptBounds,
+    AttemptPhase,
+    AttemptState,
+    AttemptTable,
+    ConnectionRejection,
+    ConnectionToken,
+)
 from radishtray_state._clock import (
     Clock,
     ManualClock,
     SystemClock,
 )
+from radishtray_state._crash_suspects import (
+    CrashSuspect,
+    CrashSuspects,
+    SuspectVerdict,
+    fingerprint,
+    suspect_host,
+)
 from radishtray_state._key_owner import (
     KeyBounds,
     KeyDecision,
@@ -34,6 +49,12 @@
     rebalance,
     replace_dead,
 )
+from radishtray_state._outstanding_attempts import (
+    AttemptVerdict,
+    OutstandingAttempts,
+    Reopened,
+    SettledAttempt,
+)
 from radishtray_state._refusal import OutcomeFamily, RefusalReason
 from radishtray_state._request_key import (
     SLOT_COUNT,
@@ -41,6 +62,16 @@
     KeyParseError,
     RequestKey,
 )
+from radishtray_state._retry_budget import AttemptGrant, RetryLedger
+from radishtray_state._retry_policy import (
+    RETRY_RULES,
+    RetryAdvice,
+    RetryDenial,
+    RetryPolicy,
+    RetryThrottle,
+    RetryVerdict,
+    retry_rule,
+)
 from radishtray_state._selection import (
     SELECTION_POLICIES,
     Candidate,
@@ -50,12 +81,23 @@
 
 __all__ = [
     "ADMISSION_POLICIES",
+    "RETRY_RULES",
     "SELECTION_POLICIES",
     "SLOT_COUNT",
     "AdmissionController",
     "AdmissionPolicy",
+    "AttemptBounds",
+    "AttemptGrant",
+    "AttemptPhase",
+    "AttemptState",
+    "AttemptTable",
+    "AttemptVerdict",
     "Candidate",
     "Clock",
+    "ConnectionRejection",
+    "ConnectionToken",
+    "CrashSuspect",
+    "CrashSuspects",
     "KeyBounds",
     "KeyDecision",
     "KeyFault",
@@ -66,20 +108,33 @@
     "KeyVerdict",
     "ManualClock",
     "OutcomeFamily",
+    "OutstandingAttempts",
     "RefusalReason",
+    "Reopened",
     "RequestKey",
+    "RetryAdvice",
+    "RetryDenial",
+    "RetryLedger",
+    "RetryPolicy",
+    "RetryThrottle",
+    "RetryVerdict",
+    "SettledAttempt",
     "SlotInterval",
     "SlotOwner",
     "SlotTable",
+    "SuspectVerdict",
     "SystemClock",
     "Ticket",
     "UpstreamSelector",
     "admission_policy",
     "claim_free",
     "extend_horizon",
+    "fingerprint",
     "hand_over",
     "prune",
     "rebalance",
     "replace_dead",
+    "retry_rule",
     "selection_policy",
+    "suspect_host",
 ]
