Add serving, sending and routing of calls at a node

Cause: the request path between two nodes. Ruled out: charging the retry budget for a redirect to another key owner, since the first owner ran nothing and the router allows one for each send.

--- a/packages/node/radishtray_node/_call_result.py
+++ b/packages/node/radishtray_node/_call_result.py
@@ -70,18 +70,15 @@
                 "text": reason.text,
             }
         )
-        return cls(
-            reason.http_status, headers, body.encode(), reason, crashed
-        )
+        return cls(reason.http_status, headers, body.encode(), reason, crashed)
 
     @classmethod
     def from_wire(cls, answer: wire.Answer) -> "CallResult":
         """Builds the result that another node sent."""
         if answer.refusal is None:
             return cls(answer.status, answer.headers, answer.body)
-        try:
-            reason = RefusalReason(answer.refusal)
-        except ValueError:
+        reason = RefusalReason.of_wire_name(answer.refusal)
+        if reason is None:
             # A newer node may know more reasons; claim nothing about them.
             reason = RefusalReason.NODE_LOST
         return cls.refused(reason, answer.detail, bool(answer.crashed))
--- /dev/null
+++ b/packages/node/radishtray_node/_call_router.py
@@ -0,0 +1,247 @@
+"""What outgoing calls share: choice of a node, links, keys and retries."""
+
+import random
+from collections.abc import Callable, Collection
+
+from radishtray_node._call_result import CallResult
+from radishtray_node._incoming_call import IncomingCall
+from radishtray_node._metrics import Metrics
+from radishtray_node._peer_link import PeerLink, SendFailure, SentAttempt
+from radishtray_node._timers import TimerWheel
+from radishtray_node._upstream_server import UpstreamServer
+from radishtray_protocol import RequestKind, wire
+from radishtray_state import (
+    Candidate,
+    Clock,
+    CrashSuspects,
+    KeyRouter,
+    RefusalReason,
+    RetryPolicy,
+    RetryThrottle,
+    UpstreamSelector,
+    suspect_host,
+)
+
+_TABLE_PULL_TIMEOUT_S = 0.5
+_BLOCKED_CRASHES = 2
+_PULL_TARGETS = 3
+
+LinkFactory = Callable[[str], PeerLink | None]
+"""Returns a link to a node id, or None if its address is not known."""
+
+
+class CallRouter:
+    """Sends calls to nodes beside upstreams.
+
+    Attributes:
+        clock: Time source.
+        timers: Timers of deadlines and retries.
+        selector: Choice of a node.
+        keys: Routing of at-most-once keys.
+        retry_policy: Decides about further attempts.
+        metrics: Counters of this node.
+        generation: Generation of the configuration in force.
+    """
+
+    __slots__ = (
+        "_candidates",
+        "_first_attempts",
+        "_link_factory",
+        "_links",
+        "_local_calls",
+        "_node_id",
+        "_rng",
+        "_server",
+        "_suspects",
+        "_table_waiters",
+        "_throttle",
+        "clock",
+        "generation",
+        "keys",
+        "metrics",
+        "retry_policy",
+        "selector",
+        "timers",
+    )
+
+    def __init__(
+        self,
+        node_id: str,
+        clock: Clock,
+        rng: random.Random,
+        timers: TimerWheel,
+        selector: UpstreamSelector,
+        keys: KeyRouter,
+        suspects: CrashSuspects,
+        server: UpstreamServer,
+        metrics: Metrics,
+        link_factory: LinkFactory,
+        retry_policy: RetryPolicy | None = None,
+    ) -> None:
+        """Starts without links.
+
+        Args:
+            node_id: This node; calls to it do not leave the process.
+            clock: Time source.
+            rng: Source of jitter.
+            timers: Timers of deadlines and retries.
+            selector: Choice of a node.
+            keys: Routing of at-most-once keys.
+            suspects: Crash suspects known to this node.
+            server: Serves calls that stay at this node.
+            metrics: Counters of this node.
+            link_factory: Creates the link to a node.
+            retry_policy: Decides about retries; the default policy if None.
+        """
+        self._node_id = node_id
+        self.clock = clock
+        self.timers = timers
+        self.selector = selector
+        self.keys = keys
+        self.metrics = metrics
+        self.generation = 0
+        self._throttle = RetryThrottle()
+        self.retry_policy = retry_policy or RetryPolicy(rng, self._throttle)
+        self._rng = rng
+        self._suspects = suspects
+        self._server = server
+        self._link_factory = link_factory
+        self._links: dict[str, PeerLink] = {}
+        self._candidates: dict[str, tuple[str, ...]] = {}
+        self._local_calls: dict[SentAttempt, IncomingCall] = {}
+        self._table_waiters: dict[str, list[Callable[[], None]]] = {}
+        self._first_attempts = metrics.attempts
+
+    def set_candidates(self, service: str, nodes: list[Candidate]) -> None:
+        """Replaces the nodes that serve a service."""
+        self._candidates[service] = tuple(node.node_id for node in nodes)
+        self.selector.set_candidates(service, nodes)
+
+    def count_first_attempt(self) -> None:
+        """Counts the first attempt of a call."""
+        self._throttle.count_first_attempt()
+        self._first_attempts.inc()
+
+    def choose(
+        self,
+        service: str,
+        rank: int,
+        exclude: Collection[str],
+        fingerprint: int,
+    ) -> str | RefusalReason:
+        """Chooses the node for one attempt."""
+        crashes = self._suspects.crashes(fingerprint)
+        if crashes >= _BLOCKED_CRASHES:
+            return RefusalReason.CRASH_SUSPECT
+        if crashes:
+            # All senders send a suspect to one node, so that resends do not
+            # reach several upstreams at once.
+            nodes = self._candidates.get(service, ())
+            host = suspect_host(
+                fingerprint, [n for n in nodes if n not in exclude]
+            )
+            return host or RefusalReason.NO_UPSTREAM
+        return self.selector.choose(service, rank, exclude)
+
+    def expected_s(self, kind: RequestKind) -> float:
+        """Returns the expected duration of an attempt, in seconds."""
+        del kind  # Retries are bounded by their deadline at the receiver.
+        return 0.0
+
+    def send(self, node_id: str, attempt: SentAttempt) -> None:
+        """Sends an attempt to a node, which may be this one."""
+        if node_id == self._node_id:
+            self._serve_here(attempt)
+            return
+        link = self._link(node_id)
+        if link is None:
+            attempt.is_settled = True
+            attempt.on_failure(SendFailure.NOT_RUN)
+        else:
+            link.send(attempt)
+
+    def _serve_here(self, attempt: SentAttempt) -> None:
+        attempt.is_handed_over = True
+
+        def done(result: CallResult, retries: int) -> None:
+            self._local_calls.pop(attempt, None)
+            if not attempt.is_settled:
+                attempt.is_settled = True
+                answer = self._server.answer_frame(0, result, retries)
+                attempt.on_answer(answer)
+
+        incoming = self._server.serve(attempt.call, done)
+        if incoming.is_unanswered:
+            self._local_calls[attempt] = incoming
+
+    def cancel(self, node_id: str, attempt: SentAttempt) -> None:
+        """Asks the receiver of an attempt to stop it."""
+        if node_id == self._node_id:
+            incoming = self._local_calls.get(attempt)
+            if incoming is not None:
+                incoming.cancel()
+            return
+        link = self._links.get(node_id)
+        if link is not None:
+            link.cancel(attempt)
+
+    def refresh_slot_table(
+        self, service: str, done: Callable[[], None]
+    ) -> None:
+        """Asks a node of a service for its key slot table.
+
+        Args:
+            service: Name of the service.
+            done: Called once a table arrived or the wait is over.
+        """
+        waiters = self._table_waiters.get(service)
+        if waiters is not None:
+            waiters.append(done)
+            return
+        self._table_waiters[service] = [done]
+        self.timers.after(
+            _TABLE_PULL_TIMEOUT_S, lambda: self.slot_table_refreshed(service)
+        )
+        frame = wire.Frame(
+            slot_table_pull=wire.SlotTablePull(service_name=service)
+        )
+        nodes = self._candidates.get(service, ())
+        targets = self._rng.sample(nodes, min(_PULL_TARGETS, len(nodes)))
+        for node_id in targets:
+            link = self._link(node_id)
+            if link is not None:
+                link.send_control(frame)
+
+    def slot_table_refreshed(self, service: str) -> None:
+        """Continues the calls that wait for a service's table."""
+        for done in self._table_waiters.pop(service, ()):
+            done()
+
+    def _link(self, node_id: str) -> PeerLink | None:
+        link = self._links.get(node_id)
+        if link is None and node_id != self._node_id:
+            link = self._link_factory(node_id)
+            if link is not None:
+                self._links[node_id] = link
+        return link
+
+    def forget(self, node_id: str) -> None:
+        """Closes the link to a node that has left or moved."""
+        link = self._links.pop(node_id, None)
+        if link is not None:
+            link.close()
+
+    @property
+    def outstanding(self) -> int:
+        """Attempts at other nodes that are not settled."""
+        return sum(link.outstanding for link in self._links.values())
+
+    def check_silence(self) -> None:
+        """Pings every link; call twice a second."""
+        for link in list(self._links.values()):
+            link.check_silence()
+
+    def close(self) -> None:
+        """Closes all links."""
+        for link in self._links.values():
+            link.close()
--- /dev/null
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -0,0 +1,268 @@
+"""The upstream beside this node: its announcement, connections and slots."""
+
+import json
+import logging
+import random
+from collections.abc import Callable
+from ipaddress import ip_address
+
+from expression import Error, Ok, Result
+from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.protocol import ClientFactory, Protocol
+
+from radishtray_state import AdmissionController, Clock, CrashSuspects
+from radishtray_transport import HttpClient
+
+_LOG = logging.getLogger(__name__)
+HEARTBEAT_TIMEOUT_S = 3.0
+_MAX_SLOTS = 100_000
+_MAX_COLD_START_S = 3600.0
+_PROBE_TIMEOUT_S = 1.0
+# Connections beyond the slots, for those that are being closed after a cancel.
+_SPARE_CONNECTIONS = 16
+
+
+class Announcement:
+    """What an upstream says about itself.
+
+    Attributes:
+        service: Service that the upstream belongs to.
+        host: IP address.
+        port: TCP port.
+        slots: Requests that it runs at the same time.
+        cold_start_s: Seconds until it is warm after its start.
+        instance: Identity of its process; a new one means a restart.
+    """
+
+    __slots__ = ("cold_start_s", "host", "instance", "port", "service", "slots")
+
+    def __init__(
+        self,
+        service: str,
+        host: str,
+        port: int,
+        slots: int,
+        cold_start_s: float = 0.0,
+        instance: str = "",
+    ) -> None:
+        """Checks and holds the parts.
+
+        Raises:
+            ValueError: If a part is out of range.
+        """
+        if not service:
+            raise ValueError("service must not be empty")
+        ip_address(host)
+        if not 0 < port < 65536:
+            raise ValueError(f"port {port} is not within 1 and 65535")
+        if not 0 < slots <= _MAX_SLOTS:
+            raise ValueError(f"slots {slots} is not within 1 and {_MAX_SLOTS}")
+        if not 0 <= cold_start_s <= _MAX_COLD_START_S:
+            raise ValueError(f"cold_start_s {cold_start_s} is out of range")
+        self.service = service
+        self.host = host
+        self.port = port
+        self.slots = slots
+        self.cold_start_s = cold_start_s
+        self.instance = instance
+
+
+def parse_announcement(body: bytes) -> Result[Announcement, str]:
+    """Parses the JSON body of `PUT /announce`.
+
+    >>> parse_announcement(b"[]").error
+    'the announcement must be a JSON object'
+    """
+    try:
+        value = json.loads(body)
+    except ValueError as error:
+        return Error(f"the announcement is not JSON: {error}")
+    if not isinstance(value, dict):
+        return Error("the announcement must be a JSON object")
+    try:
+        host, _, port = str(value["address"]).rpartition(":")
+        return Ok(
+            Announcement(
+                str(value["service"]),
+                host,
+                int(port),
+                int(value["slots"]),
+                float(value.get("cold_start_s", 0.0)),
+                str(value.get("instance", "")),
+            )
+        )
+    except KeyError as error:
+        return Error(f"the announcement lacks {error}")
+    except (TypeError, ValueError, OverflowError) as error:
+        return Error(f"the announcement is invalid: {error}")
+
+
+class _Probe(Protocol):
+    def connectionMade(self) -> None:
+        self.transport.abortConnection()
+        self.factory.done(True)
+
+
+class _ProbeFactory(ClientFactory):
+    noisy = False
+    protocol = _Probe
+
+    def __init__(self, done: Callable[[bool], None]) -> None:
+        self.done = done
+
+    def clientConnectionFailed(self, connector: object, reason: object) -> None:
+        self.done(False)
+
+
+class LocalUpstream:
+    """The one upstream of this node.
+
+    Attributes:
+        announcement: The latest announcement, or None.
+        client: Connections to it, or None.
+        admission: Grants its slots.
+        suspects: Requests that may crash it.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_heartbeat_s",
+        "_on_change",
+        "_on_crash",
+        "_probe_waiters",
+        "_reactor",
+        "admission",
+        "announcement",
+        "client",
+        "suspects",
+    )
+
+    def __init__(
+        self,
+        reactor: IReactorTCP,
+        clock: Clock,
+        rng: random.Random,
+        admission_policy: str,
+        suspects: CrashSuspects,
+        on_change: Callable[[], None],
+        on_crash: Callable[[], None],
+    ) -> None:
+        """Starts without an upstream.
+
+        Args:
+            reactor: The Twisted reactor.
+            clock: Time source.
+            rng: Source of randomness.
+            admission_policy: Name of a registered admission policy.
+            suspects: Crash suspects known to this node.
+            on_change: Called when the upstream appears, changes or leaves.
+            on_crash: Called when the upstream has ended unexpectedly.
+        """
+        self._reactor = reactor
+        self._clock = clock
+        self._on_change = on_change
+        self._on_crash = on_crash
+        self._heartbeat_s = 0.0
+        self._probe_waiters: list[Callable[[bool], None]] = []
+        self.announcement: Announcement | None = None
+        self.client: HttpClient | None = None
+        self.admission = AdmissionController(clock, rng, 1, admission_policy)
+        self.suspects = suspects
+
+    @property
+    def service(self) -> str:
+        """Service of the upstream; empty if there is none."""
+        return self.announcement.service if self.announcement else ""
+
+    def announce(self, announcement: Announcement) -> None:
+        """Takes an announcement or a heartbeat."""
+        self._heartbeat_s = self._clock.monotonic()
+        known = self.announcement
+        self.announcement = announcement
+        address = (announcement.host, announcement.port)
+        is_new = (
+            known is None
+            or known.instance != announcement.instance
+            or known.service != announcement.service
+            or self.client is None
+            or self.client.address != address
+        )
+        if is_new:
+            self._replace_client(announcement)
+        if known is None or known.slots != announcement.slots or is_new:
+            self.admission.set_slots(announcement.slots)
+            _LOG.info(
+                "upstream announced",
+                extra={
+                    "service": announcement.service,
+                    "address": f"{address[0]}:{address[1]}",
+                    "slots": announcement.slots,
+                },
+            )
+            self._on_change()
+
+    def _replace_client(self, announcement: Announcement) -> None:
+        if self.client is not None:
+            self.client.close()
+        self.client = HttpClient(
+            self._reactor,
+            announcement.host,
+            announcement.port,
+            announcement.slots + _SPARE_CONNECTIONS,
+        )
+        if announcement.cold_start_s > 0:
+            self.admission.start_cold(announcement.cold_start_s)
+
+    def leave(self) -> None:
+        """Takes no new work for the upstream; running work continues."""
+        if self.announcement is None:
+            return
+        _LOG.info("upstream left", extra={"service": self.service})
+        self.announcement = None
+        self._on_change()
+
+    def check_heartbeat(self) -> None:
+        """Treats an upstream without heartbeats as gone."""
+        if self.announcement is None:
+            return
+        age_s = self._clock.monotonic() - self._heartbeat_s
+        if age_s > HEARTBEAT_TIMEOUT_S:
+            _LOG.warning("upstream heartbeat missing", extra={"age_s": age_s})
+            self.leave()
+
+    def probe(self, done: Callable[[bool], None]) -> None:
+        """Finds out whether the upstream still accepts connections.
+
+        A lost connection alone does not show a crash, since an upstream may
+        close one connection for reasons of its own.
+
+        Args:
+            done: Called with whether a connection was accepted.
+        """
+        self._probe_waiters.append(done)
+        announcement = self.announcement
+        if len(self._probe_waiters) > 1:
+            return
+        if announcement is None:
+            self._probed(False)
+            return
+        self._reactor.connectTCP(
+            announcement.host,
+            announcement.port,
+            _ProbeFactory(self._probed),
+            timeout=_PROBE_TIMEOUT_S,
+        )
+
+    def _probed(self, is_accepting: bool) -> None:
+        waiters = self._probe_waiters
+        self._probe_waiters = []
+        if not is_accepting:
+            self._on_crash()
+            self.leave()
+        for done in waiters:
+            done(is_accepting)
+
+    def close(self) -> None:
+        """Closes the connections to the upstream."""
+        if self.client is not None:
+            self.client.close()
--- /dev/null
+++ b/packages/node/radishtray_node/_outgoing_call.py
@@ -0,0 +1,363 @@
+"""One call towards a service: choose, send, retry, and report one result."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from radishtray_node._call_result import CallResult
+from radishtray_node._peer_link import SendFailure, SentAttempt
+from radishtray_node._running_request import RunningRequest
+from radishtray_node._timers import Timer
+from radishtray_protocol import RequestKind, wire
+from radishtray_state import (
+    AttemptGrant,
+    KeyForward,
+    KeyRefresh,
+    KeyRoute,
+    RefusalReason,
+    RequestKey,
+)
+
+if TYPE_CHECKING:
+    from radishtray_node._call_router import CallRouter
+
+# Taken off the deadline that is passed on, so that the receiver's truthful
+# verdict arrives before this node gives up.
+DEADLINE_MARGIN_MS = 10
+
+ResultCallback = Callable[[CallResult], None]
+
+
+class OutgoingCall:
+    """One call and its attempts."""
+
+    __slots__ = (
+        "_attempt",
+        "_body",
+        "_crashes",
+        "_deadline_timer",
+        "_excluded",
+        "_first_send",
+        "_forward",
+        "_grant",
+        "_headers",
+        "_is_done",
+        "_key",
+        "_kind",
+        "_may_have_run",
+        "_method",
+        "_node_id",
+        "_on_result",
+        "_path",
+        "_request",
+        "_retries",
+        "_router",
+        "_sent_s",
+        "deadline_s",
+        "fingerprint",
+    )
+
+    def __init__(
+        self,
+        router: "CallRouter",
+        request: RunningRequest,
+        kind: RequestKind,
+        method: str,
+        path: str,
+        headers: list[str],
+        body: bytes,
+        key: RequestKey | None,
+        first_send: bool,
+        fingerprint: int,
+        on_result: ResultCallback,
+    ) -> None:
+        """Prepares a call; `start` sends it.
+
+        Args:
+            router: The node's router.
+            request: The request that the call is made for.
+            kind: Kind of the call.
+            method: HTTP method.
+            path: Path below the service, with the query.
+            headers: Names and values, alternating.
+            body: The whole body.
+            key: Idempotency key, for an at-most-once kind.
+            first_send: Whether the caller states that it never sent the key.
+            fingerprint: Digest of the call's content.
+            on_result: Called once with the result, unless cancelled.
+        """
+        self._router = router
+        self._request = request
+        self._kind = kind
+        self._method = method
+        self._path = path
+        self._headers = headers
+        self._body = body
+        self._key = key
+        self._first_send = first_send
+        self.fingerprint = fingerprint
+        self._on_result: ResultCallback | None = on_result
+        now_s = router.clock.monotonic()
+        self.deadline_s = min(
+            request.deadline_s, now_s + kind.deadline_ms / 1000
+        )
+        self._deadline_timer: Timer | None = None
+        self._attempt: SentAttempt | None = None
+        self._grant: AttemptGrant | None = None
+        self._forward: KeyForward | None = None
+        self._node_id = ""
+        self._sent_s = now_s
+        self._retries = 0
+        self._crashes = 0
+        self._excluded: tuple[str, ...] = ()
+        self._may_have_run = False
+        self._is_done = False
+
+    def start(self) -> None:
+        """Sends the first attempt."""
+        self._request.calls.add(self)
+        left_s = self.deadline_s - self._router.clock.monotonic()
+        self._deadline_timer = self._router.timers.after(left_s, self._expire)
+        self._router.count_first_attempt()
+        self._choose(is_retry=False)
+
+    def _choose(self, is_retry: bool) -> None:
+        key = self._key
+        if key is not None:
+            route = self._router.keys.route(
+                self._kind.service, key, self._first_send
+            )
+            self._follow(route, is_retry)
+            return
+        chosen = self._router.choose(
+            self._kind.service,
+            self._request.rank,
+            self._excluded,
+            self.fingerprint,
+        )
+        if isinstance(chosen, RefusalReason):
+            self._refused_here(chosen)
+        else:
+            self._send(chosen, is_retry)
+
+    def _follow(self, route: KeyRoute, is_retry: bool) -> None:
+        """Acts on a decision of the key router."""
+        if self._is_done:
+            return
+        service = self._kind.service
+        key = self._key
+        assert key is not None
+        if isinstance(route, KeyForward):
+            self._forward = route
+            self._send(route.owner.node_id, is_retry)
+        elif isinstance(route, KeyRefresh):
+            pristine = route.pristine
+            self._router.refresh_slot_table(
+                service,
+                lambda: self._follow(
+                    self._router.keys.route_again(service, key, pristine),
+                    is_retry,
+                ),
+            )
+        else:
+            retry_key = (
+                None if route.retry_key is None else str(route.retry_key)
+            )
+            self._router.metrics.refused(route.reason)
+            self._finish(CallResult.refused(route.reason, retry_key))
+
+    def _send(self, node_id: str, is_retry: bool) -> None:
+        grant = self._request.ledger.begin(is_retry)
+        if grant is None:
+            self._refused_here(RefusalReason.NO_UPSTREAM)
+            return
+        router = self._router
+        self._grant = grant
+        self._node_id = node_id
+        self._sent_s = router.clock.monotonic()
+        attempt = SentAttempt(
+            self._build_call(grant.share), self._answered, self._failed
+        )
+        self._attempt = attempt
+        router.selector.sent(node_id)
+        router.send(node_id, attempt)
+
+    def _build_call(self, share: int) -> wire.Call:
+        request = self._request
+        left_ms = int((self.deadline_s - self._sent_s) * 1000)
+        key = self._key
+        return wire.Call(
+            attempt_id=0,
+            service_name=self._kind.service,
+            kind=self._kind.name,
+            method=self._method,
+            path=self._path,
+            headers=self._headers,
+            body=self._body,
+            context=wire.Context(
+                request_id=request.request_id,
+                priority_class=request.priority_class,
+                level=request.level,
+                deadline_ms=max(0, left_ms - DEADLINE_MARGIN_MS),
+                retry_budget=share,
+                depth=request.depth + 1,
+                key=None if key is None else str(key),
+                key_first_send=self._first_send,
+                fingerprint=self.fingerprint,
+                crash_count=self._crashes,
+            ),
+            generation=self._router.generation,
+        )
+
+    def _answered(self, answer: wire.Answer) -> None:
+        if self._grant is not None:
+            self._request.ledger.settle(self._grant, answer.retries_used)
+        result = CallResult.from_wire(answer)
+        router = self._router
+        router.selector.observed(
+            self._node_id,
+            router.clock.monotonic() - self._sent_s,
+            answer.threshold,
+            answer.in_flight,
+            answer.queue_ms,
+            reason=result.refusal,
+        )
+        if self._is_done:
+            return
+        if result.refusal is None:
+            self._finish(result)
+            return
+        if result.crashed:
+            self._crashes += 1
+        self._refused_there(result)
+
+    def _refused_there(self, result: CallResult) -> None:
+        reason = result.refusal
+        assert reason is not None
+        if not reason.is_not_run:
+            self._may_have_run = True
+        if self._key is not None and reason in (
+            RefusalReason.KEY_NOT_OWNED,
+            RefusalReason.DRAINING,
+        ):
+            self._route_key_again()
+        else:
+            self._retry_or_finish(reason, result)
+
+    def _failed(self, failure: SendFailure) -> None:
+        if self._grant is not None:
+            if failure is SendFailure.NOT_RUN:
+                self._request.ledger.settle(self._grant, 0)
+            else:
+                self._request.ledger.forfeit(self._grant)
+        self._router.selector.lost(self._node_id)
+        if self._is_done:
+            return
+        if failure is SendFailure.UNKNOWN:
+            self._may_have_run = True
+            reason = RefusalReason.NODE_LOST
+            self._retry_or_finish(reason, CallResult.refused(reason))
+        elif self._key is not None:
+            self._route_key_again()
+        else:
+            reason = RefusalReason.NEVER_ARRIVED
+            self._retry_or_finish(reason, CallResult.refused(reason))
+
+    def _route_key_again(self) -> None:
+        """Looks for another owner after the first did not take the send."""
+        assert self._key is not None
+        forward = self._forward
+        assert forward is not None
+        if self._may_have_run:
+            self._finish(CallResult.refused(RefusalReason.KEY_UNKNOWN))
+            return
+        route = self._router.keys.not_taken(
+            self._kind.service, self._key, forward
+        )
+        # Not a retry: the first owner ran nothing, and the router allows one
+        # refreshed route for each send.
+        self._follow(route, is_retry=False)
+
+    def _retry_or_finish(
+        self, reason: RefusalReason, result: CallResult
+    ) -> None:
+        router = self._router
+        now_s = router.clock.monotonic()
+        verdict = router.retry_policy.decide(
+            reason,
+            is_idempotent=self._kind.idempotent,
+            is_at_most_once=self._kind.at_most_once,
+            deadline_s=self.deadline_s - now_s,
+            budget=self._request.ledger.remaining,
+            retries=self._retries,
+            crashes=self._crashes,
+            expected_s=router.expected_s(self._kind),
+        )
+        if verdict.denial is not None:
+            router.metrics.retry_denials.labels(verdict.denial.value).inc()
+            self._finish(self._truthful(result))
+            return
+        self._retries += 1
+        router.metrics.retries.labels(reason.value).inc()
+        if self._key is None:
+            self._excluded = (*self._excluded, self._node_id)
+        if verdict.delay_s > 0:
+            router.timers.after(verdict.delay_s, self._retry)
+        else:
+            self._retry()
+
+    def _truthful(self, result: CallResult) -> CallResult:
+        """Keeps an earlier unknown attempt from ending as not run."""
+        reason = result.refusal
+        if self._may_have_run and reason is not None and reason.is_not_run:
+            return CallResult.refused(RefusalReason.NODE_LOST)
+        return result
+
+    def _retry(self) -> None:
+        if not self._is_done:
+            self._choose(is_retry=True)
+
+    def _refused_here(self, reason: RefusalReason) -> None:
+        """Ends a call for which this node found no node to send to."""
+        if self._excluded and reason is RefusalReason.NO_UPSTREAM:
+            # Every other node was tried; the last one may be tried again.
+            self._excluded = ()
+        self._router.metrics.refused(reason)
+        self._finish(self._truthful(CallResult.refused(reason)))
+
+    def _expire(self) -> None:
+        """Gives up at the deadline; the receiver is told to stop."""
+        attempt = self._attempt
+        was_sent = attempt is not None and (
+            attempt.is_handed_over and not attempt.is_settled
+        )
+        if was_sent or self._may_have_run:
+            reason = RefusalReason.DEADLINE_RUNNING
+        else:
+            reason = RefusalReason.DEADLINE_QUEUED
+        self._router.metrics.refused(reason)
+        self._finish(CallResult.refused(reason))
+        self._stop_attempt()
+
+    def cancel(self) -> None:
+        """Stops the call; its callback is not called."""
+        if not self._is_done:
+            self._on_result = None
+            self._finish(CallResult.refused(RefusalReason.CANCELLED_RUNNING))
+            self._stop_attempt()
+
+    def _stop_attempt(self) -> None:
+        attempt = self._attempt
+        if attempt is not None and not attempt.is_settled:
+            self._router.cancel(self._node_id, attempt)
+
+    def _finish(self, result: CallResult) -> None:
+        if self._is_done:
+            return
+        self._is_done = True
+        self._request.calls.discard(self)
+        if self._deadline_timer is not None:
+            self._deadline_timer.cancel()
+        callback = self._on_result
+        self._on_result = None
+        if callback is not None:
+            callback(result)
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -289,6 +289,9 @@
             else:
                 self._fail(item.context, SendFailure.UNKNOWN)
 
+    def pong_received(self, connection: NodeConnection, sequence: int) -> None:
+        """Needs no action; received bytes are the sign of life."""
+
     def connection_rejected(self, reason: str) -> None:
         """Counts a connection that this side aborted."""
         self._on_rejected(reason)
--- a/packages/node/radishtray_node/_running_request.py
+++ b/packages/node/radishtray_node/_running_request.py
@@ -104,9 +104,7 @@
         )
 
     @classmethod
-    def from_wire(
-        cls, context: wire.Context, now_s: float
-    ) -> "RunningRequest":
+    def from_wire(cls, context: wire.Context, now_s: float) -> "RunningRequest":
         """Creates the context of a request that another node sent."""
         return cls(
             context.request_id,
--- a/packages/protocol/radishtray_protocol/_findings.py
+++ b/packages/protocol/radishtray_protocol/_findings.py
@@ -10,7 +10,7 @@
 
     __slots__ = ("column", "key", "line", "message", "section", "source")
 
-    def __init__(  # noqa: PLR0917 - the order of a printed finding
+    def __init__(
         self,
         source: str,
         section: str,
--- a/packages/state/radishtray_state/_refusal.py
+++ b/packages/state/radishtray_state/_refusal.py
@@ -67,6 +67,12 @@
     CANCELLED_RUNNING = ("cancelled_running", OutcomeFamily.OUTCOME_UNKNOWN, 499, "the caller disconnected while the request was running")
     # fmt: on
 
+    @classmethod
+    def of_wire_name(cls, name: str) -> "RefusalReason | None":
+        """Returns the reason of a wire name, or None for an unknown one."""
+        member = cls._value2member_map_.get(name)
+        return member if isinstance(member, cls) else None
+
     @property
     def is_not_run(self) -> bool:
         """Whether the reason promises that the request was not run."""
--- a/packages/state/radishtray_state/_request_key.py
+++ b/packages/state/radishtray_state/_request_key.py
@@ -115,7 +115,7 @@
         return cls(_compose(issued_ms.to_bytes(6, "big"), rng.randbytes(10)))
 
     @classmethod
-    def derive(  # noqa: PLR0917
+    def derive(
         cls,
         parent: "RequestKey",
         service: str,
--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -200,7 +200,9 @@
         if frame.ping is not None:
             pong = wire.Pong(sequence=frame.ping.sequence)
             self.send(wire.Frame(pong=pong))
-        elif frame.pong is None:
+        elif frame.pong is not None:
+            self._events.pong_received(self, frame.pong.sequence)
+        else:
             self._events.frame_received(self, frame)
 
     def ping(self, sequence: int) -> None:
@@ -249,6 +251,10 @@
         """A frame arrived from a verified peer."""
         ...
 
+    def pong_received(self, connection: NodeConnection, sequence: int) -> None:
+        """The peer has read everything sent before the ping."""
+        ...
+
     def connection_rejected(self, reason: str) -> None:
         """The connection is aborted for the counted reason."""
         ...
@@ -381,6 +387,10 @@
         """Passes the event on."""
         self._events.frame_received(connection, frame)
 
+    def pong_received(self, connection: NodeConnection, sequence: int) -> None:
+        """Passes the event on."""
+        self._events.pong_received(connection, sequence)
+
     def connection_rejected(self, reason: str) -> None:
         """Passes the event on."""
         self._events.connection_rejected(reason)
