--- a/packages/protocol/radishtray_protocol/__init__.py
+++ b/packages/protocol/radishtray_protocol/__init__.py
@@ -13,7 +13,13 @@
     RequestKind,
     ServiceSection,
 )
-from radishtray_protocol._document_keys import PriorityClass
+from radishtray_protocol._document_keys import (
+    DEFAULTS_KEYS,
+    KIND_KEYS,
+    KeySpec,
+    KeyType,
+    PriorityClass,
+)
 from radishtray_protocol._findings import Finding
 from radishtray_protocol._frames import (
     DEFAULT_MAX_FRAME_BYTES,
@@ -30,28 +36,62 @@
     parse_document,
     parse_source,
 )
+from radishtray_protocol._release import (
+    MAX_HISTORY_CHANGES,
+    MAX_VALUE_BYTES,
+    RELEASE_OBJECT,
+    Change,
+    DigestChange,
+    Release,
+    ReleaseError,
+    decode_release,
+    next_release,
+    section_object,
+)
+from radishtray_protocol._sections import (
+    join_sections,
+    section_digest,
+    split_sections,
+)
 
 __all__ = [
+    "DEFAULTS_KEYS",
     "DEFAULTS_SECTION",
     "DEFAULT_MAX_FRAME_BYTES",
+    "KIND_KEYS",
+    "MAX_HISTORY_CHANGES",
     "MAX_KEY_ID_BYTES",
+    "MAX_VALUE_BYTES",
+    "RELEASE_OBJECT",
     "TAG_BYTES",
+    "Change",
     "ClusterKeys",
     "ClusterKeysError",
     "ClusterKeysFault",
+    "DigestChange",
     "Document",
     "Finding",
     "FrameDecoder",
     "FrameError",
+    "KeySpec",
+    "KeyType",
     "ParsedSource",
     "PriorityClass",
+    "Release",
+    "ReleaseError",
     "RequestKind",
     "ServiceSection",
     "combine_sources",
+    "decode_release",
     "decode_struct",
     "encode_frame",
     "encode_struct",
+    "join_sections",
+    "next_release",
     "parse_document",
     "parse_source",
+    "section_digest",
+    "section_object",
+    "split_sections",
     "wire",
 ]
