--- a/packages/state/radishtray_state/_view_digest.py
+++ b/packages/state/radishtray_state/_view_digest.py
@@ -8,7 +8,7 @@
 
 FAN_OUT = 16
 DEPTH = 3  # 4,096 leaves: about one member each at the target of 4,300.
-_LEAVES = FAN_OUT**DEPTH
+_LEAVES: int = FAN_OUT**DEPTH
 _DIGEST_MASK = 0xFFFFFFFF
 
 
