--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -30,6 +30,13 @@
     fingerprint,
     suspect_host,
 )
+from radishtray_state._gossip import (
+    Datagram,
+    GossipKind,
+    GossipMessage,
+    SuspectNote,
+    ViewSummary,
+)
 from radishtray_state._key_owner import (
     KeyBounds,
     KeyDecision,
@@ -49,6 +56,19 @@
     rebalance,
     replace_dead,
 )
+from radishtray_state._lease import (
+    LeaseAction,
+    LeaseDecision,
+    LeaseObserver,
+    LeaseRecord,
+)
+from radishtray_state._member import (
+    MemberChange,
+    MemberRecord,
+    MemberState,
+)
+from radishtray_state._membership import Membership
+from radishtray_state._membership_parameters import MembershipParameters
 from radishtray_state._outstanding_attempts import (
     AttemptVerdict,
     OutstandingAttempts,
@@ -56,6 +76,10 @@
     SettledAttempt,
 )
 from radishtray_state._refusal import OutcomeFamily, RefusalReason
+from radishtray_state._release import (
+    ReleasePullPlan,
+    ReleaseTracker,
+)
 from radishtray_state._request_key import (
     SLOT_COUNT,
     KeyFault,
@@ -98,6 +122,9 @@
     "ConnectionToken",
     "CrashSuspect",
     "CrashSuspects",
+    "Datagram",
+    "GossipKind",
+    "GossipMessage",
     "KeyBounds",
     "KeyDecision",
     "KeyFault",
@@ -106,10 +133,21 @@
     "KeyRecord",
     "KeyRecords",
     "KeyVerdict",
+    "LeaseAction",
+    "LeaseDecision",
+    "LeaseObserver",
+    "LeaseRecord",
     "ManualClock",
+    "MemberChange",
+    "MemberRecord",
+    "MemberState",
+    "Membership",
+    "MembershipParameters",
     "OutcomeFamily",
     "OutstandingAttempts",
     "RefusalReason",
+    "ReleasePullPlan",
+    "ReleaseTracker",
     "Reopened",
     "RequestKey",
     "RetryAdvice",
@@ -122,10 +160,12 @@
     "SlotInterval",
     "SlotOwner",
     "SlotTable",
+    "SuspectNote",
     "SuspectVerdict",
     "SystemClock",
     "Ticket",
     "UpstreamSelector",
+    "ViewSummary",
     "admission_policy",
     "claim_free",
     "extend_horizon",
