--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -12,10 +12,20 @@
     KeyRecords,
     KeyVerdict,
 )
+from radishtray_state._key_routing import (
+    KeyForward,
+    KeyRefresh,
+    KeyRefusal,
+    KeyRoute,
+    KeyRouter,
+)
 from radishtray_state._key_slots import (
+    HORIZON_MS,
+    REPLACEMENT_MARGIN_MS,
     SlotInterval,
     SlotOwner,
     SlotTable,
+    boundaries,
     claim_free,
     extend_horizon,
     hand_over,
@@ -32,15 +42,22 @@
 )
 
 __all__ = [
+    "HORIZON_MS",
+    "REPLACEMENT_MARGIN_MS",
     "SLOT_COUNT",
     "Clock",
     "KeyBounds",
     "KeyDecision",
     "KeyFault",
+    "KeyForward",
     "KeyOwner",
     "KeyParseError",
     "KeyRecord",
     "KeyRecords",
+    "KeyRefresh",
+    "KeyRefusal",
+    "KeyRoute",
+    "KeyRouter",
     "KeyVerdict",
     "ManualClock",
     "OutcomeFamily",
@@ -50,6 +67,7 @@
     "SlotOwner",
     "SlotTable",
     "SystemClock",
+    "boundaries",
     "claim_free",
     "extend_horizon",
     "hand_over",
--- a/packages/state/radishtray_state/_key_slots.py
+++ b/packages/state/radishtray_state/_key_slots.py
@@ -223,7 +223,7 @@
         if held - counts[taker] < 2:
             break
         earliest = max(now_ms + REBALANCE_LEAD_MS, highest_accepted(number) + 1)
-        if intervals[-1].until_ms <= earliest:
+        if not intervals[-1].from_ms < earliest < intervals[-1].until_ms:
             continue
         slots[number] = _cut_last(intervals, earliest, taker)
         counts[taker] += 1
