--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -45,10 +45,20 @@
     KeyRecords,
     KeyVerdict,
 )
+from radishtray_state._key_routing import (
+    KeyForward,
+    KeyRefresh,
+    KeyRefusal,
+    KeyRoute,
+    KeyRouter,
+)
 from radishtray_state._key_slots import (
+    HORIZON_MS,
+    REPLACEMENT_MARGIN_MS,
     SlotInterval,
     SlotOwner,
     SlotTable,
+    boundaries,
     claim_free,
     extend_horizon,
     hand_over,
@@ -105,6 +115,8 @@
 
 __all__ = [
     "ADMISSION_POLICIES",
+    "HORIZON_MS",
+    "REPLACEMENT_MARGIN_MS",
     "RETRY_RULES",
     "SELECTION_POLICIES",
     "SLOT_COUNT",
@@ -128,10 +140,15 @@
     "KeyBounds",
     "KeyDecision",
     "KeyFault",
+    "KeyForward",
     "KeyOwner",
     "KeyParseError",
     "KeyRecord",
     "KeyRecords",
+    "KeyRefresh",
+    "KeyRefusal",
+    "KeyRoute",
+    "KeyRouter",
     "KeyVerdict",
     "LeaseAction",
     "LeaseDecision",
@@ -167,6 +184,7 @@
     "UpstreamSelector",
     "ViewSummary",
     "admission_policy",
+    "boundaries",
     "claim_free",
     "extend_horizon",
     "fingerprint",
