Join the node's parts and order priority classes as ranks

Cause: the document numbered critical 0 while admission ranks class * 128 with critical highest; no program joined the parts. Change: Application; PriorityClass LOW=0 to CRITICAL=3.

--- /dev/null
+++ b/packages/node/radishtray_node/_application.py
@@ -0,0 +1,356 @@
+"""Joins the parts of a node and runs their periodic work."""
+
+import gc
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from radishtray_node._call_result import CallResult
+from radishtray_node._call_router import CallRouter
+from radishtray_node._entry import Entry
+from radishtray_node._local_upstream import LocalUpstream
+from radishtray_node._metrics import Metrics
+from radishtray_node._node_server import NodeServer
+from radishtray_node._operator_api import OperatorApi
+from radishtray_node._peer_link import PeerLink
+from radishtray_node._running_request import RunningRequests
+from radishtray_node._settings import Settings
+from radishtray_node._timers import TimerWheel
+from radishtray_node._unknown_outcomes import UnknownOutcomes
+from radishtray_node._upstream_api import UpstreamApi
+from radishtray_node._upstream_server import UpstreamServer
+from radishtray_protocol import Document, wire
+from radishtray_state import (
+    Candidate,
+    Clock,
+    CrashSuspects,
+    KeyOwner,
+    KeyRouter,
+    SlotOwner,
+    SystemClock,
+    UpstreamSelector,
+)
+from radishtray_transport import (
+    HttpLimits,
+    HttpServer,
+    NodeConnection,
+    NodeIdentity,
+    NodeListener,
+)
+
+_LOG = logging.getLogger(__name__)
+_EXPIRE_INTERVAL_S = 0.01
+_SILENCE_INTERVAL_S = 0.5
+_SECOND_S = 1.0
+_DRAIN_POLL_S = 0.05
+_LOOPBACK = "127.0.0.1"
+# Idle callers learn from a closed connection that the node has gone; requests
+# that arrive until then are refused as not run.
+_LINGER_S = 0.5
+
+
+class Application:
+    """One node.
+
+    Attributes:
+        settings: Checked settings.
+        identity: Name and incarnation of this process.
+        clock: Time source.
+        metrics: Counters of this node.
+        router: Sends calls to nodes.
+        server: Serves calls on the upstream.
+        upstream: The upstream beside this node.
+        key_owner: At-most-once records.
+        suspects: Requests that may crash upstreams.
+    """
+
+    __slots__ = (
+        "_caller_listener",
+        "_document",
+        "_entry",
+        "_is_draining",
+        "_links",
+        "_loops",
+        "_node_listener",
+        "_node_server",
+        "_operator_listener",
+        "_reactor",
+        "_running",
+        "_stopped",
+        "_timers",
+        "_unknown",
+        "_upstream_listener",
+        "clock",
+        "identity",
+        "key_owner",
+        "metrics",
+        "node_addresses",
+        "router",
+        "server",
+        "settings",
+        "suspects",
+        "upstream",
+    )
+
+    def __init__(self, reactor: Any, settings: Settings) -> None:
+        """Builds all parts; nothing is opened yet.
+
+        Args:
+            reactor: The Twisted reactor.
+            settings: Checked settings.
+        """
+        self.settings = settings
+        self.clock: Clock = SystemClock()
+        self.identity = NodeIdentity(settings.node_id, self.clock.wall_ms())
+        self.metrics = Metrics()
+        self.node_addresses: dict[str, tuple[str, int]] = {}
+        self._reactor = reactor
+        self._document: Document | None = None
+        self._is_draining = False
+        self._stopped: Deferred[None] = Deferred()
+        self._timers = TimerWheel(reactor)
+        self._running = RunningRequests()
+        self._unknown = UnknownOutcomes(self.clock)
+        rng = random.Random()
+        self.suspects = CrashSuspects(self.clock)
+        self.key_owner: KeyOwner[CallResult] = KeyOwner(
+            settings.node_id,
+            self.identity.incarnation,
+            self.clock,
+            answer_size=_answer_size,
+        )
+        self.upstream = LocalUpstream(
+            reactor,
+            self.clock,
+            rng,
+            settings.admission_policy,
+            self.suspects,
+            self._upstream_changed,
+            self._upstream_crashed,
+        )
+        self.server = UpstreamServer(
+            self.clock,
+            self._timers,
+            self.upstream,
+            self.key_owner,
+            self._running,
+            self.metrics,
+        )
+        self.router = CallRouter(
+            settings.node_id,
+            self.clock,
+            rng,
+            self._timers,
+            UpstreamSelector(
+                self.clock,
+                rng,
+                settings.failure_domain,
+                settings.selection_policy,
+            ),
+            KeyRouter(self.clock, rng, self._is_owner_alive),
+            self.suspects,
+            self.server,
+            self.metrics,
+            self._link_to,
+        )
+        self._build_listeners()
+        self._loops = [
+            (LoopingCall(self.server.expire), _EXPIRE_INTERVAL_S),
+            (LoopingCall(self.router.check_silence), _SILENCE_INTERVAL_S),
+            (LoopingCall(self._every_second), _SECOND_S),
+        ]
+
+    def _build_listeners(self) -> None:
+        settings = self.settings
+        limits = HttpLimits(
+            head_bytes=settings.max_head_bytes,
+            body_bytes=settings.max_body_bytes,
+            connections=settings.max_connections,
+            idle_s=settings.idle_time,
+            request_s=settings.request_time,
+        )
+        self._entry = Entry(self.router, self._current, self._unknown)
+        upstream_api = UpstreamApi(
+            self.router, self._current, self.upstream, self._running
+        )
+        operator_api = OperatorApi(
+            settings.operator_token, self.status, self.drain, self.metrics
+        )
+        self._caller_listener = self._http("caller", self._entry.handle, limits)
+        self._upstream_listener = self._http(
+            "upstream", upstream_api.handle, limits
+        )
+        self._operator_listener = self._http(
+            "operator", operator_api.handle, HttpLimits(connections=64)
+        )
+        self._node_server = NodeServer(
+            self.clock, self.server, self.metrics, self._control_received
+        )
+        self._node_listener = NodeListener(
+            self._reactor,
+            self.identity,
+            settings.cluster_keys,
+            self._node_server,
+        )
+
+    def _http(
+        self, name: str, handler: Callable[..., None], limits: HttpLimits
+    ) -> HttpServer:
+        rejected = self.metrics.rejected
+        return HttpServer(
+            self._reactor,
+            handler,
+            limits,
+            lambda reason: rejected.labels(name, reason).inc(),
+        )
+
+    def start(self) -> None:
+        """Opens the listeners and starts the periodic work."""
+        settings = self.settings
+        self._timers.start()
+        self._caller_listener.start(settings.caller_host, settings.caller_port)
+        self._upstream_listener.start(_LOOPBACK, settings.upstream_port)
+        self._node_listener.start(settings.address, settings.node_port)
+        self._operator_listener.start(
+            settings.operator_host, settings.operator_port
+        )
+        for loop, interval_s in self._loops:
+            loop.clock = self._reactor
+            loop.start(interval_s, now=False)
+        _LOG.info("node started", extra={"ports": self.ports()})
+        # What exists now lives as long as the process; later collections need
+        # not visit it.
+        gc.collect()
+        gc.freeze()
+
+    def ports(self) -> dict[str, int]:
+        """Returns the ports of the TCP listeners by name."""
+        return {
+            "caller": self._caller_listener.port,
+            "upstream": self._upstream_listener.port,
+            "node": self._node_listener.port,
+            "operator": self._operator_listener.port,
+        }
+
+    def _current(self) -> Document | None:
+        return self._document
+
+    def apply_document(self, document: Document, generation: int) -> None:
+        """Puts a newer generation of the configuration in force."""
+        if generation <= self.router.generation:
+            return
+        self._document = document
+        self.router.generation = generation
+        _LOG.info("configuration applied", extra={"generation": generation})
+
+    def set_candidates(self, service: str, nodes: list[Candidate]) -> None:
+        """Replaces the nodes that serve a service."""
+        self.router.set_candidates(service, nodes)
+
+    def _link_to(self, node_id: str) -> PeerLink | None:
+        address = self.node_addresses.get(node_id)
+        if address is None:
+            return None
+        return PeerLink(
+            self._reactor,
+            self._timers,
+            address,
+            self.identity,
+            self.settings.cluster_keys,
+            self._reply_received,
+            lambda reason: self.metrics.connections.labels(reason).inc(),
+        )
+
+    def _is_owner_alive(self, owner: SlotOwner) -> bool:
+        return owner.node_id in self.node_addresses
+
+    def _upstream_changed(self) -> None:
+        """Tells the other nodes about the upstream."""
+
+    def _upstream_crashed(self) -> None:
+        self.server.upstream_crashed()
+
+    def _control_received(
+        self, connection: NodeConnection, frame: wire.Frame
+    ) -> None:
+        """Answers a control frame of another node."""
+
+    def _reply_received(self, frame: wire.Frame) -> None:
+        """Takes the reply to a control frame."""
+
+    def _every_second(self) -> None:
+        self.upstream.check_heartbeat()
+        self._node_server.tick()
+        self.key_owner.expire()
+
+    def status(self) -> dict[str, Any]:
+        """Returns the node's status as JSON values."""
+        admission = self.upstream.admission
+        return {
+            "node_id": self.identity.node_id,
+            "incarnation": self.identity.incarnation,
+            "failure_domain": self.settings.failure_domain,
+            "service": self.upstream.service,
+            "generation": self.router.generation,
+            "draining": self._is_draining,
+            "in_flight": admission.in_flight,
+            "queued": admission.queued,
+            "threshold": admission.threshold,
+            "unknown_outcomes_total": self._unknown.total,
+            "unknown_outcomes": self._unknown.to_json(),
+        }
+
+    def drain(self) -> None:
+        """Starts the graceful shutdown; safe to repeat."""
+        if self._is_draining:
+            return
+        self._is_draining = True
+        _LOG.info("draining")
+        self.server.is_draining = True
+        self._entry.is_draining = True
+        self.key_owner.stop_accepting()
+        deadline_s = self.clock.monotonic() + self.settings.drain_time
+        self._reactor.callLater(_LINGER_S, self._finish_drain, deadline_s)
+
+    def _finish_drain(self, deadline_s: float) -> None:
+        is_idle = not (
+            self._entry.active
+            or self.server.unfinished
+            or self.router.outstanding
+        )
+        if is_idle or self.clock.monotonic() >= deadline_s:
+            if not is_idle:
+                _LOG.warning("drain time is over with unfinished requests")
+            self.close()
+        else:
+            self._reactor.callLater(
+                _DRAIN_POLL_S, self._finish_drain, deadline_s
+            )
+
+    @property
+    def stopped(self) -> "Deferred[None]":
+        """Fires once the node has closed everything."""
+        return self._stopped
+
+    def close(self) -> None:
+        """Closes listeners and connections after their last answers."""
+        for loop, _ in self._loops:
+            if loop.running:
+                loop.stop()
+        self._caller_listener.close()
+        self._upstream_listener.close()
+        self._operator_listener.close()
+        self._node_listener.close()
+        self.router.close()
+        self.upstream.close()
+        self._timers.close()
+        _LOG.info("node stopped")
+        self._reactor.callLater(0.1, self._stopped.callback, None)
+
+
+def _answer_size(result: CallResult) -> int:
+    return len(result.body) + sum(map(len, result.headers))
--- a/packages/protocol/radishtray_protocol/_document_keys.py
+++ b/packages/protocol/radishtray_protocol/_document_keys.py
@@ -17,15 +17,15 @@
 
 
 class PriorityClass(IntEnum):
-    """Importance of a request; higher values are shed first.
+    """Importance of a request; lower values are shed first.
 
     The values are the ones of `Context.priority_class` on the wire.
     """
 
-    CRITICAL = 0
-    HIGH = 1
-    NORMAL = 2
-    LOW = 3
+    CRITICAL = 3
+    HIGH = 2
+    NORMAL = 1
+    LOW = 0
 
 
 CLASS_NAMES: Final = tuple(member.name.lower() for member in PriorityClass)
