Write to sockets at once and drop timers for each request

Cause: a profile of a sequential caller showed 4.5 polls and three reactor timers a call; each transport.write waits for the next poll of the loop.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -43,7 +43,7 @@
 )
 
 _LOG = logging.getLogger(__name__)
-_EXPIRE_INTERVAL_S = 0.01
+_EXPIRE_INTERVAL_S = 0.05
 _SILENCE_INTERVAL_S = 0.5
 _SECOND_S = 1.0
 _DRAIN_POLL_S = 0.05
@@ -211,7 +211,6 @@
     def start(self) -> None:
         """Opens the listeners and starts the periodic work."""
         settings = self.settings
-        self._timers.start()
         self._caller_listener.start(settings.caller_host, settings.caller_port)
         self._upstream_listener.start(_LOOPBACK, settings.upstream_port)
         self._node_listener.start(settings.address, settings.node_port)
--- a/packages/node/radishtray_node/_timers.py
+++ b/packages/node/radishtray_node/_timers.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Callable
 
-from twisted.internet.interfaces import IReactorTime
-from twisted.internet.task import LoopingCall
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 TICK_S = 0.01
 
@@ -29,25 +28,21 @@
     bookkeeping, and almost every one is cancelled.
     """
 
-    __slots__ = ("_buckets", "_loop", "_next_tick", "_reactor")
+    __slots__ = ("_buckets", "_is_closed", "_next_tick", "_reactor", "_wake")
 
     def __init__(self, reactor: IReactorTime) -> None:
-        """Prepares a wheel that does not turn yet."""
+        """Starts without timers; an empty wheel costs nothing."""
         self._reactor = reactor
         self._buckets: dict[int, list[Timer]] = {}
         self._next_tick = 0
-        self._loop = LoopingCall(self._turn)
-        self._loop.clock = reactor
-
-    def start(self) -> None:
-        """Starts turning."""
-        self._next_tick = int(self._reactor.seconds() / TICK_S)
-        self._loop.start(TICK_S, now=False)
+        self._wake: IDelayedCall | None = None
+        self._is_closed = False
 
     def close(self) -> None:
         """Stops turning; pending callbacks are not run."""
-        if self._loop.running:
-            self._loop.stop()
+        self._is_closed = True
+        if self._wake is not None and self._wake.active():
+            self._wake.cancel()
 
     def after(self, delay_s: float, callback: Callable[[], None]) -> Timer:
         """Runs a callback after a delay.
@@ -59,9 +54,13 @@
         Returns:
             The timer.
         """
-        tick = int((self._reactor.seconds() + delay_s) / TICK_S) + 1
-        tick = max(tick, self._next_tick)
+        now_s = self._reactor.seconds()
+        tick = int((now_s + delay_s) / TICK_S) + 1
         timer = Timer(callback)
+        if self._wake is None and not self._is_closed:
+            self._next_tick = int(now_s / TICK_S)
+            self._wake = self._reactor.callLater(TICK_S, self._turn)
+        tick = max(tick, self._next_tick)
         bucket = self._buckets.get(tick)
         if bucket is None:
             self._buckets[tick] = [timer]
@@ -70,6 +69,7 @@
         return timer
 
     def _turn(self) -> None:
+        self._wake = None
         last = int(self._reactor.seconds() / TICK_S)
         while self._next_tick <= last:
             bucket = self._buckets.pop(self._next_tick, None)
@@ -79,3 +79,5 @@
                 if callback is not None:
                     timer.callback = None
                     callback()
+        if self._buckets and self._wake is None and not self._is_closed:
+            self._wake = self._reactor.callLater(TICK_S, self._turn)
--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -12,6 +12,8 @@
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPClient
 
+from radishtray_transport._direct_writer import DirectWriter
+
 HeaderList = list[str]
 """Header names and values, alternating."""
 
@@ -166,6 +168,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self._writer = DirectWriter(self.transport)
         self._client.connected(self)
 
     def send(self, pending: PendingRequest) -> None:
@@ -173,7 +176,7 @@
         self._reset()
         self._pending = pending
         pending.attach(self)
-        self.transport.write(pending.data)
+        self._writer.write(pending.data)
 
     def abandon(self) -> None:
         """Closes the connection without waiting for an answer."""
--- a/packages/transport/radishtray_transport/_http_server.py
+++ b/packages/transport/radishtray_transport/_http_server.py
@@ -6,12 +6,15 @@
 
 from twisted.internet.interfaces import IListeningPort, IReactorTCP
 from twisted.internet.protocol import Factory
+from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 from twisted.web.http import RESPONSES, HTTPChannel, Request
 
+from radishtray_transport._direct_writer import DirectWriter
 from radishtray_transport._http_client import HeaderList
 
 _LOG = logging.getLogger(__name__)
+_SWEEP_INTERVAL_S = 1.0
 _DROPPED_ANSWER_HEADERS = frozenset(
     ("connection", "content-length", "transfer-encoding", "keep-alive")
 )
@@ -72,9 +75,10 @@
         on_disconnect: Called if the peer disconnects before the answer.
     """
 
-    def __init__(self, channel: "_Channel") -> None:
+    def __init__(self, channel: "_Channel", queued: int = 0) -> None:
         """Begins a request on a connection."""
         Request.__init__(self, channel)
+        channel.request_started()
         self.channel: _Channel | None = channel
         self.body = b""
         self.on_disconnect: Callable[[], None] | None = None
@@ -82,6 +86,9 @@
         self._is_answered = False
         self._max_body_bytes = channel.limits.body_bytes
 
+    def parseCookies(self) -> None:
+        """Leaves cookies to the upstream."""
+
     def gotLength(self, length: int | None) -> None:
         """Keeps bodies in memory; the base class would use a file."""
         self.content = BytesIO()
@@ -149,7 +156,7 @@
             parts.append("Connection: close\r\n")
         parts.append(f"Content-Length: {len(body)}\r\n\r\n")
         head = "".join(parts).encode("latin-1", "replace")
-        channel.transport.write(head if self.method == b"HEAD" else head + body)
+        channel.writer.write(head if self.method == b"HEAD" else head + body)
         channel.requestDone(self)
 
     def connectionLost(self, reason: Failure) -> None:
@@ -165,6 +172,8 @@
 class _Channel(HTTPChannel):
     """One connection of an `HttpServer`."""
 
+    requestFactory = HttpRequest
+
     def __init__(self, server: "HttpServer") -> None:
         HTTPChannel.__init__(self)
         self._server = server
@@ -172,31 +181,47 @@
         self.handler = server.handler
         self.totalHeadersSize = server.limits.head_bytes
         self.maxHeaders = server.limits.headers
-        self.timeOut = server.limits.idle_s
-        self._request_timer: object = None
+        # One sweep of the server replaces a timer for each request.
+        self.timeOut = None
+        self._receiving_since_s: float | None = None
+        self._idle_since_s = server.reactor.seconds()
 
-    def requestFactory(self, channel: HTTPChannel, queued: int) -> HttpRequest:
-        """Creates a request and starts the time limit for receiving it."""
-        self._request_timer = self._server.reactor.callLater(
-            self.limits.request_s, self._request_late
-        )
-        return HttpRequest(self)
+    def request_started(self) -> None:
+        """Notes that the head of a request begins to arrive."""
+        self._receiving_since_s = self._server.reactor.seconds()
 
     def request_complete(self) -> None:
-        """Stops the time limit for receiving the request."""
-        timer = self._request_timer
-        if timer is not None:
-            timer.cancel()  # type: ignore[attr-defined]
-            self._request_timer = None
-
-    def _request_late(self) -> None:
-        self._request_timer = None
-        self.count_rejected("slow_request")
-        self.transport.write(
-            b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
-            b"Content-Length: 0\r\n\r\n"
-        )
-        self.loseConnection()
+        """Notes that the whole request has arrived."""
+        self._receiving_since_s = None
+
+    def requestDone(self, request: HttpRequest) -> None:
+        """Continues with the next request on the connection."""
+        self._idle_since_s = self._server.reactor.seconds()
+        HTTPChannel.requestDone(self, request)
+
+    def getPeer(self) -> object:
+        """Returns the address that was read when the connection opened."""
+        return self._peer
+
+    def getHost(self) -> object:
+        """Returns the address that was read when the connection opened."""
+        return self._host
+
+    def check_time(self, now_s: float) -> None:
+        """Closes a connection that is idle or sends a request too slowly."""
+        since_s = self._receiving_since_s
+        if since_s is not None and now_s - since_s > self.limits.request_s:
+            self._receiving_since_s = None
+            self.count_rejected("slow_request")
+            self.transport.write(
+                b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            self.loseConnection()
+        elif not self.requests and (
+            now_s - self._idle_since_s > self.limits.idle_s
+        ):
+            self.loseConnection()
 
     def count_rejected(self, reason: str) -> None:
         """Counts input that was rejected."""
@@ -204,10 +229,12 @@
 
     def connectionMade(self) -> None:
         self._server.opened(self)
+        self._peer = self.transport.getPeer()
+        self._host = self.transport.getHost()
+        self.writer = DirectWriter(self.transport)
         HTTPChannel.connectionMade(self)
 
     def connectionLost(self, reason: Failure) -> None:
-        self.request_complete()
         self._server.closed(self)
         HTTPChannel.connectionLost(self, reason)
 
@@ -237,6 +264,7 @@
         "_channels",
         "_factory",
         "_port",
+        "_sweep",
         "handler",
         "limits",
         "on_rejected",
@@ -258,6 +286,8 @@
         self._channels: set[_Channel] = set()
         self._factory = _ServerFactory(self)
         self._port: IListeningPort | None = None
+        self._sweep = LoopingCall(self._check_times)
+        self._sweep.clock = reactor
 
     @property
     def connection_count(self) -> int:
@@ -280,12 +310,20 @@
         self._port = self.reactor.listenTCP(
             port, self._factory, backlog=1024, interface=host
         )
+        self._sweep.start(_SWEEP_INTERVAL_S, now=False)
+
+    def _check_times(self) -> None:
+        now_s = self.reactor.seconds()
+        for channel in list(self._channels):
+            channel.check_time(now_s)
 
     def close(self) -> None:
         """Stops accepting; each connection closes after its answer."""
         if self._port is not None:
             self._port.stopListening()
             self._port = None
+        if self._sweep.running:
+            self._sweep.stop()
         for channel in list(self._channels):
             channel.close_when_idle()
 
--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -32,6 +32,7 @@
     encode_struct,
     wire,
 )
+from radishtray_transport._direct_writer import DirectWriter
 
 _LOG = logging.getLogger(__name__)
 _NONCE_BYTES = 16
@@ -142,6 +143,7 @@
     def connectionMade(self) -> None:
         """Sends the hello and starts the time limit of the handshake."""
         self.transport.setTcpNoDelay(True)
+        self._writer = DirectWriter(self.transport)
         self.last_received_s = self._reactor.seconds()
         self._timer = self._reactor.callLater(
             _HANDSHAKE_TIMEOUT_S, self._reject, "handshake_timeout"
@@ -150,7 +152,7 @@
 
     def send(self, frame: wire.Frame) -> None:
         """Hands a frame to the socket."""
-        self.transport.write(encode_frame(frame))
+        self._writer.write(encode_frame(frame))
 
     def dataReceived(self, data: bytes) -> None:
         """Decodes and handles received frames."""
