--- a/packages/state/radishtray_state/_key_slots.py
+++ b/packages/state/radishtray_state/_key_slots.py
@@ -216,11 +216,13 @@
     counts.pop(me, None)
     slots = list(table.slots)
     held = table.owned_count(me)
+    # Giving below the share would make others give slots back.
+    share = SLOT_COUNT // max(len(members), 1)
     for number, intervals in enumerate(slots):
         if not intervals or intervals[-1].owner != me or not counts:
             continue
         taker = min(counts, key=lambda member: (counts[member], member))
-        if held - counts[taker] < 2:
+        if held <= share or held - counts[taker] < 2:
             break
         earliest = max(now_ms + REBALANCE_LEAD_MS, highest_accepted(number) + 1)
         if not intervals[-1].from_ms < earliest < intervals[-1].until_ms:
