Add tests and a simulated run for admission and selection

Choices are spread by cost instead of always taking the cheaper node. Ruled out: always the cheaper of two; senders with the same report herd.

--- a/packages/state/radishtray_state/_selection.py
+++ b/packages/state/radishtray_state/_selection.py
@@ -17,12 +17,16 @@
 _REFUSAL_MEMORY_S = 0.5
 # Share of requests sent although every known threshold is above their rank.
 _PROBE_SHARE = 0.01
-# Cost of a node before its first answer, in seconds.
+# Latency of a node before any node of the service has answered, in seconds.
 _UNKNOWN_LATENCY_S = 0.01
 # The own failure domain is left gradually between these ratios of its cost to
 # the cost of the others; a step would move all senders of a domain at once.
 _LEAVE_FROM_RATIO = 1.25
 _LEAVE_SPAN = 1.0
+# With 4, a node that costs 10% less gets 59% of the choices between two, and
+# one that costs half gets 94%. Always taking the cheaper one would let all
+# senders that saw the same report move together.
+_SHARPNESS = 4
 _WARM_UP_S = 2.0
 _WARM_UP_SHARE = 0.1
 # A lost node looks this much more costly until it has warmed up again.
@@ -74,7 +78,9 @@
         "queue_s",
     )
 
-    def __init__(self, candidate: Candidate, warm_from: float) -> None:
+    def __init__(
+        self, candidate: Candidate, warm_from: float, latency_s: float
+    ) -> None:
         self._latency_at = -inf
         self._load_at = -inf
         self._lost = False
@@ -85,7 +91,7 @@
         self._threshold_until = -inf
         self._warm_from = warm_from
         self.candidate = candidate
-        self.latency_s = _UNKNOWN_LATENCY_S
+        self.latency_s = latency_s
         self.outstanding = 0
         self.queue_s = 0.0
 
@@ -230,7 +236,8 @@
         """
         known = self._groups.get(service)
         join = self._clock.monotonic() if known and known.peers else -inf
-        peers = [self._peer(candidate, join) for candidate in candidates]
+        latency_s = _mean_latency(known.peers if known else ())
+        peers = [self._peer(c, join, latency_s) for c in candidates]
         self._groups[service] = _Group(peers, self._own_domain)
         kept = {p.candidate.node_id for p in peers}
         for peer in known.peers if known else ():
@@ -311,10 +318,12 @@
         if peer is not None:
             peer.lost(self._clock.monotonic())
 
-    def _peer(self, candidate: Candidate, join: float) -> _Peer:
+    def _peer(
+        self, candidate: Candidate, join: float, latency_s: float
+    ) -> _Peer:
         peer = self._peers.get(candidate.node_id)
         if peer is None:
-            peer = _Peer(candidate, join)
+            peer = _Peer(candidate, join, latency_s)
             self._peers[candidate.node_id] = peer
         peer.candidate = candidate
         return peer
@@ -334,13 +343,13 @@
     other = _better_of_two(rng, remote, rank, now)
     if own is None and other is None:
         return _least_known_threshold(rng, [*near, *remote], rank, now)
-    if own is None or other is None:
-        return own or other  # type: ignore[return-value]
-    ratio = own.cost(now) / other.cost(now)
-    if ratio > _LEAVE_FROM_RATIO:
-        leave = (ratio - _LEAVE_FROM_RATIO) / _LEAVE_SPAN
-        return other if rng.random() < leave else own
-    return own
+    if other is None or own is None:
+        return (own or other)[0]  # type: ignore[index]
+    ratio = own[1] / other[1]
+    if ratio <= _LEAVE_FROM_RATIO:
+        return own[0]
+    leave = (ratio - _LEAVE_FROM_RATIO) / _LEAVE_SPAN
+    return other[0] if rng.random() < leave else own[0]
 
 
 @selection_policy("random")
@@ -358,11 +367,17 @@
 
 def _better_of_two(
     rng: random.Random, peers: Sequence[_Peer], rank: int, now: float
-) -> _Peer | None:
-    """The cheaper of two random peers that admit the rank, if any does."""
+) -> tuple[_Peer, float] | None:
+    """One of two random peers, the cheaper more often, with its cost.
+
+    Returns:
+        None if no peer admits the rank.
+    """
     count = len(peers)
     if count < 2:
-        return peers[0] if count and peers[0].threshold(now) <= rank else None
+        if not count or peers[0].threshold(now) > rank:
+            return None
+        return peers[0], peers[0].cost(now)
     first = int(rng.random() * count)
     second = int(rng.random() * (count - 1))
     second += second >= first
@@ -371,7 +386,11 @@
     if one.threshold(now) > rank or two.threshold(now) > rank:
         admitting = [p for p in peers if p.threshold(now) <= rank]
         return _better_of_two(rng, admitting, rank, now)
-    return one if one.cost(now) <= two.cost(now) else two
+    cost_one = one.cost(now)
+    cost_two = two.cost(now)
+    if rng.random() * (1 + (cost_one / cost_two) ** _SHARPNESS) < 1:
+        return one, cost_one
+    return two, cost_two
 
 
 def _least_known_threshold(
@@ -381,3 +400,10 @@
     if rng.random() >= _PROBE_SHARE:
         return RefusalReason.SHED
     return min(peers, key=lambda p: p.threshold(now))
+
+
+def _mean_latency(peers: Sequence[_Peer]) -> float:
+    """Latency to assume of a node that joins these peers."""
+    if not peers:
+        return _UNKNOWN_LATENCY_S
+    return sum(p.latency_s for p in peers) / len(peers)
--- /dev/null
+++ b/packages/state/radishtray_state/tests/test_admission.py
@@ -0,0 +1,166 @@
+"""Guards against wrong orders, false refusals and leaked slots."""
+
+import random
+from collections.abc import Callable
+
+import pytest
+
+from radishtray_state import (
+    ADMISSION_POLICIES,
+    AdmissionController,
+    ManualClock,
+    RefusalReason,
+    Ticket,
+    admission_policy,
+)
+
+
+def short(reason: RefusalReason) -> str:
+    assert reason.is_not_run
+    return reason.value.removeprefix("deadline_")
+
+
+class Bench:
+    """A controller whose callbacks write a log.
+
+    Steps: `r<rank>` submits with a deadline in 1 s, `r<rank>/<s>` in s
+    seconds; `f<n>`, `c<n>` finish (after 0.2 s of service) and cancel the n-th
+    ticket; `+<s>` advances; `e` expires; `slots<n>`, `cold<s>` set.
+    """
+
+    def __init__(self, policy: str, slots: int) -> None:
+        """Creates an empty bench."""
+        self.clock = ManualClock()
+        self.control = AdmissionController(
+            self.clock, random.Random(1), slots, policy
+        )
+        self.tickets: list[Ticket] = []
+        self.log: list[str] = []
+
+    def play(self, steps: str) -> str:
+        for step in steps.split():
+            self._step(step)
+        return " ".join(self.log)
+
+    def _step(self, step: str) -> None:
+        actions: dict[str, Callable[[str], object]] = {
+            "slots": lambda n: self.control.set_slots(int(n)),
+            "cold": lambda s: self.control.start_cold(float(s)),
+            "r": self._submit,
+            "f": lambda n: self.control.finish(self.tickets[int(n)], 0.2),
+            "c": self._cancel,
+            "+": lambda s: self.clock.advance(float(s)),
+            "e": lambda _: self.control.expire(),
+        }
+        prefix = next(p for p in actions if step.startswith(p))
+        actions[prefix](step.removeprefix(prefix))
+
+    def _submit(self, text: str) -> None:
+        rank, _, seconds = text.partition("/")
+        number = len(self.tickets)
+        ticket = Ticket(
+            int(rank),
+            self.clock.monotonic() + float(seconds or 1),
+            lambda: self.log.append(f"run{number}"),
+            lambda reason: self.log.append(f"drop{number}:{short(reason)}"),
+        )
+        self.tickets.append(ticket)
+        reason = self.control.submit(ticket)
+        if reason is not None:
+            self.log.append(f"no{number}:{short(reason)}")
+
+    def _cancel(self, text: str) -> None:
+        queued = self.control.cancel(self.tickets[int(text)])
+        self.log.append(f"c{text}:{queued}")
+
+
+# Name, policy, slots, steps, log.
+FATES = [
+    ("runs_up_to_the_slots", "adaptive", 2, "r1 r2 r3", "run0 run1"),
+    ("rank_before_arrival", "adaptive", 1, "r9 r1 r7 f0 f2", "run0 run2 run1"),
+    ("arrival_in_rank", "adaptive", 1, "r9 r5 r5 f0 f1", "run0 run1 run2"),
+    ("fifo_ignores_rank", "fifo", 1, "r9 r1 r7 f0 f1", "run0 run1 run2"),
+    ("none_ignores_rank", "none", 1, "r9 r1 r7 f0 f1", "run0 run1 run2"),
+    ("finish_twice", "adaptive", 1, "r1 r2 r2 f0 f0", "run0 run1"),
+    ("finish_queued", "adaptive", 1, "r1 r2 f1 f0", "run0 run1"),
+    ("cancel_queued", "adaptive", 1, "r1 r2 c1 f0", "run0 c1:True"),
+    ("cancel_twice", "none", 1, "r1 r2 c1 c1", "run0 c1:True c1:False"),
+    ("cancel_running", "adaptive", 1, "r1 c0", "run0 c0:False"),
+    ("past_deadline", "adaptive", 1, "r1/0", "no0:expected"),
+    ("no_time_left", "adaptive", 2, "r1 r1 f0 r1/.1", "run0 run1 no2:expected"),
+    ("idle_slots_probe", "adaptive", 2, "r1 f0 r1/.1", "run0 run1"),
+    ("late_in_queue", "adaptive", 1, "r1 r1/.5 +.5 e", "run0 drop1:queued"),
+    ("hopeless_in_queue", "adaptive", 1,
+     "r1 r1 f0 r1/.5 +.4 e", "run0 run1 drop2:expected"),
+    ("hopeless_at_slot", "adaptive", 2,
+     "r1 r1 r9 r1/.5 f0 +.4 f1", "run0 run1 run2 drop3:expected"),
+    ("keeps_running", "adaptive", 1, "r1/.1 +1 e", "run0"),
+    ("baseline_runs_late", "none", 1, "r1 r1/.5 +9 e f0", "run0 run1"),
+    ("no_deadline", "no_deadline", 1, "r1 r1/.5 +9 e f0", "run0 run1"),
+    ("more_slots", "adaptive", 1, "r1 r2 slots2", "run0 run1"),
+    ("fewer_slots", "adaptive", 2, "r1 r1 r1 slots1 f0", "run0 run1"),
+    ("cold_limit", "adaptive", 20, "cold10 r1/9 r1/9 r1/9 +.5 e", "run0 run1"),
+    ("cold_ramp", "adaptive", 20,
+     "cold1 r1/9 r1/9 r1/9 +.5 e", "run0 run1 run2"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("policy", "slots", "steps", "log"),
+    [case[1:] for case in FATES],
+    ids=[case[0] for case in FATES],
+)
+def test_fate_of_tickets(policy: str, slots: int, steps: str, log: str) -> None:
+    assert Bench(policy, slots).play(steps) == log
+
+
+def test_full_queue_drops_the_least_important() -> None:
+    bench = Bench("adaptive", 1)
+    waiting = ADMISSION_POLICIES["adaptive"].queue_per_slot
+    bench.play("r9 " + "r5 " * waiting)
+    assert bench.play("r4 r6").endswith(
+        f"no{waiting + 1}:queue_full drop{waiting}:queue_full"
+    )
+    assert (bench.control.queued, bench.control.in_flight) == (waiting, 1)
+
+
+def test_next_expiry_skips_tickets_that_left_the_queue() -> None:
+    bench = Bench("adaptive", 1)
+    bench.play("r9 r5/.5 r5/.7")
+    assert bench.control.next_expiry() == pytest.approx(0.5)
+    bench.play("c1")
+    assert bench.control.next_expiry() == pytest.approx(0.7)
+    bench.play("f0")
+    assert bench.control.next_expiry() is None
+
+
+def test_callbacks_that_finish_at_once_do_not_recurse() -> None:
+    control = AdmissionController(ManualClock(), random.Random(1), 1, "none")
+    tickets: list[Ticket] = []
+    ran: list[Ticket] = []
+
+    def run() -> None:
+        ran.append(tickets[len(ran)])
+        if len(ran) > 1:
+            control.finish(ran[-1], 0.0)
+
+    for _ in range(5_000):
+        tickets.append(Ticket(0, 9.0, run, lambda _: None))
+        assert control.submit(tickets[-1]) is None
+    control.finish(tickets[0], 0.0)
+    assert (len(ran), control.in_flight, control.queued) == (5_000, 0, 0)
+
+
+@pytest.mark.parametrize(
+    ("attempt", "message"),
+    [
+        (lambda: Bench("best", 1), "'best' is none of adaptive"),
+        (lambda: Bench("none", 0), "at least 1 slot, not 0"),
+        (lambda: Bench("none", 1).play("r512"), "rank 512"),
+        (lambda: admission_policy("none")(lambda: None), "twice"),  # type: ignore[arg-type, return-value]
+    ],
+    ids=["policy", "slots", "rank", "second_registration"],
+)
+def test_invalid_arguments(attempt: Callable[[], object], message: str) -> None:
+    with pytest.raises(ValueError, match=message):
+        attempt()
--- /dev/null
+++ b/packages/state/radishtray_state/tests/test_selection.py
@@ -0,0 +1,176 @@
+"""Guards against overloaded, silent and cold nodes that keep being chosen."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from radishtray_state import (
+    Candidate,
+    ManualClock,
+    RefusalReason,
+    UpstreamSelector,
+)
+
+CHOICES = 2_000
+NODES = [
+    Candidate("a1", "a", 40),
+    Candidate("a2", "a", 40),
+    Candidate("b1", "b", 40),
+    Candidate("b2", "b", 40),
+]
+IDS = [node.node_id for node in NODES]
+
+
+class Bench:
+    """A selector in failure domain a whose four nodes have answered once."""
+
+    def __init__(self, policy: str = "adaptive", seed: int = 1) -> None:
+        """Creates a bench."""
+        self.clock = ManualClock()
+        rng = random.Random(seed)
+        self.selector = UpstreamSelector(self.clock, rng, "a", policy)
+        self.selector.set_candidates("s", NODES)
+        self.see(*IDS)
+
+    def see(
+        self,
+        *nodes: str,
+        latency_s: float = 0.02,
+        threshold: int = 0,
+        in_flight: int = 4,
+        queue_ms: float = 0.0,
+        reason: RefusalReason | None = None,
+    ) -> None:
+        for node in nodes:
+            self.selector.sent(node)
+            self.selector.observed(
+                node, latency_s, threshold, in_flight, queue_ms, reason=reason
+            )
+
+    def shares(self, rank: int = 100, exclude: tuple[str, ...] = ()) -> Counter:
+        picks = [
+            self.selector.choose("s", rank, exclude) for _ in range(CHOICES)
+        ]
+        count = Counter(p if isinstance(p, str) else p.value for p in picks)
+        return Counter({node: n / CHOICES for node, n in count.items()})
+
+
+Before = Callable[[Bench], object]
+
+
+def see(*nodes: str, **state: Any) -> Before:
+    return lambda bench: bench.see(*nodes, **state)
+
+
+def silence(bench: Bench) -> None:
+    for _ in range(40):
+        bench.selector.sent("a1")
+
+
+def lose(bench: Bench) -> None:
+    bench.selector.lost("a1")
+
+
+def join(bench: Bench) -> None:
+    bench.selector.set_candidates("s", [*NODES, Candidate("a3", "a", 40)])
+
+
+def late(step: Before, seconds: float) -> Before:
+    def run(bench: Bench) -> None:
+        step(bench)
+        bench.clock.advance(seconds)
+
+    return run
+
+
+slow = see(*["a1"] * 20, latency_s=0.2)
+full = see("a1", "a2", in_flight=40, queue_ms=50)
+busy = see("a1", "a2", in_flight=22)
+shed = see("a1", latency_s=0, reason=RefusalReason.SHED)
+everywhere = see(*IDS, threshold=200)
+
+# Name, what happens first, node or reason, least and greatest share of choices.
+SHARES: list[tuple[str, Before, str, float, float]] = [
+    ("own_domain_is_preferred", see(), "b1", 0, 0.01),
+    ("equal_nodes_share", see(), "a1", 0.45, 0.55),
+    ("full_domain_is_left", full, "b1", 0.4, 0.6),
+    ("busy_domain_is_left_gradually", busy, "b1", 0.05, 0.3),
+    ("busy_node_gets_less", see("a1", in_flight=36), "a1", 0, 0.1),
+    ("busier_node_gets_its_part", see("a1", in_flight=8), "a1", 0.25, 0.48),
+    ("silent_node_is_avoided", silence, "a1", 0, 0.1),
+    ("lost_node_is_avoided", lose, "a1", 0, 0.01),
+    ("lost_node_returns", late(lose, 2.1), "a1", 0.4, 0.6),
+    ("refusing_node_gets_less", shed, "a1", 0.01, 0.2),
+    ("cold_node_gets_little", join, "a3", 0, 0.02),
+    ("cold_node_warms_up", late(join, 2.1), "a3", 0.25, 0.5),
+    ("threshold_is_avoided", see("a1", threshold=101), "a1", 0, 0),
+    ("threshold_admits_its_rank", see("a1", threshold=100), "a1", 0.4, 0.6),
+    ("refused_everywhere", everywhere, "shed", 0.97, 0.999),
+    ("old_threshold_is_forgotten", late(everywhere, 1.1), "shed", 0, 0),
+    ("young_threshold_is_kept", late(everywhere, 0.9), "shed", 0.9, 1),
+    ("slow_node_gets_less", slow, "a1", 0, 0.1),
+]
+
+
+@pytest.mark.parametrize(
+    ("before", "name", "least", "greatest"),
+    [case[1:] for case in SHARES],
+    ids=[case[0] for case in SHARES],
+)
+def test_share_of_choices(
+    before: Before, name: str, least: float, greatest: float
+) -> None:
+    bench = Bench()
+    before(bench)
+    assert least <= bench.shares()[name] <= greatest
+
+
+@pytest.mark.parametrize("policy", ["adaptive", "random"])
+@pytest.mark.parametrize(
+    ("service", "exclude", "expected"),
+    [
+        ("unknown", (), {RefusalReason.NO_UPSTREAM}),
+        ("s", tuple(IDS), {RefusalReason.NO_UPSTREAM}),
+        ("s", ("a1", "a2"), {"b1", "b2"}),
+        ("s", ("a1", "b1", "b2"), {"a2"}),
+    ],
+    ids=["unknown_service", "all_excluded", "own_excluded", "one_left"],
+)
+def test_candidates(
+    policy: str,
+    service: str,
+    exclude: tuple[str, ...],
+    expected: set[object],
+) -> None:
+    selector = Bench(policy).selector
+    picks = {selector.choose(service, 0, exclude) for _ in range(200)}
+    assert picks == expected
+
+
+def test_random_policy_ignores_domains_and_thresholds() -> None:
+    bench = Bench("random")
+    everywhere(bench)
+    assert all(0.2 <= bench.shares()[node] <= 0.3 for node in IDS)
+
+
+def test_removed_node_is_not_chosen_and_its_late_answer_is_harmless() -> None:
+    bench = Bench()
+    bench.selector.set_candidates("s", NODES[1:])
+    bench.see("a1")
+    assert bench.shares()["a1"] == 0
+
+
+@pytest.mark.parametrize(
+    ("attempt", "message"),
+    [
+        (lambda: Bench("best"), "'best' is none of adaptive, random"),
+        (lambda: Candidate("n", "a", 0), "at least 1 slot"),
+    ],
+    ids=["policy", "slots"],
+)
+def test_invalid_arguments(attempt: Callable[[], object], message: str) -> None:
+    with pytest.raises(ValueError, match=message):
+        attempt()
--- /dev/null
+++ b/packages/testing/radishtray_testing/tests/test_admission_runs.py
@@ -0,0 +1,80 @@
+"""Guards against collapse, late recovery and shedding in the wrong order."""
+
+import pytest
+
+from radishtray_testing.service_run import Phase, ServiceRun, ServiceShape
+
+SURGE_START_S = 2.0
+SURGE_END_S = 4.0
+RECOVERY_S = 2.0
+MIX = {"low": 0.3, "normal": 0.3, "high": 0.2, "critical": 0.2}
+CRITICAL = {"critical": 1.0}
+
+
+def surge(
+    policy: str, mix: dict[str, float], seed: int, shape: ServiceShape
+) -> ServiceRun:
+    capacity = shape.slots / shape.service_s / shape.calls
+
+    def rates(load: float) -> dict[str, float]:
+        return {name: share * load * capacity for name, share in mix.items()}
+
+    plan = [
+        Phase(2.0, rates(0.5)),
+        Phase(2.0, rates(3.0)),
+        Phase(3.0, rates(0.5)),
+    ]
+    run = ServiceRun(policy, seed, plan, shape)
+    run.finish()
+    return run
+
+
+LONG = ServiceShape(service_s=0.1, deadline_s=1.0)
+FALSE_SLOTS = ServiceShape(announced_slots=80)
+# Name, policy, mix, shape, least goodput by capacity in the surge, least share
+# of critical requests served in it.
+SURGES = [
+    ("mix", "adaptive", MIX, ServiceShape(), 0.9, 0.98),
+    ("mix_long", "adaptive", MIX, LONG, 0.9, 0.98),
+    ("mix_false_slots", "adaptive", MIX, FALSE_SLOTS, 0.9, 0.95),
+    ("critical_alone", "adaptive", CRITICAL, ServiceShape(), 0.9, 0.3),
+    ("critical_alone_long", "adaptive", CRITICAL, LONG, 0.9, 0.3),
+    ("without_threshold", "no_threshold", MIX, ServiceShape(), 0.9, 0.98),
+    ("without_deadline", "no_deadline", MIX, ServiceShape(), 0.9, 0.95),
+    ("by_arrival", "fifo", MIX, ServiceShape(), 0.9, 0.95),
+]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("case", SURGES, ids=[case[0] for case in SURGES])
+def test_surge_of_three_times_the_capacity(
+    case: tuple[str, str, dict[str, float], ServiceShape, float, float],
+    seed: int,
+) -> None:
+    _, policy, mix, shape, goodput, critical = case
+    run = surge(policy, mix, seed, shape)
+    capacity = shape.slots / shape.service_s
+    assert run.goodput("", 2.5, SURGE_END_S) >= goodput * capacity
+    assert run.goodput_share("critical", 2.5, SURGE_END_S) >= critical
+    assert run.recovery_s(SURGE_END_S) <= RECOVERY_S
+    assert run.goodput_share("", 0.5, SURGE_START_S) >= 0.99
+
+
+def test_baseline_collapses_in_the_same_surge() -> None:
+    run = surge("none", MIX, 1, ServiceShape())
+    assert run.goodput("", 2.5, SURGE_END_S) <= 0.3 * 2000
+    assert run.recovery_s(SURGE_END_S) >= RECOVERY_S
+
+
+def test_classes_are_shed_in_order() -> None:
+    run = surge("adaptive", MIX, 1, ServiceShape())
+    shares = [run.goodput_share(name, 2.5, SURGE_END_S) for name in MIX]
+    assert shares == sorted(shares)
+    assert shares[0] < 0.02
+    assert 0.5 < shares[2] < 0.8
+
+
+def test_calls_of_one_request_get_the_same_verdict() -> None:
+    run = surge("adaptive", MIX, 1, ServiceShape(calls=4))
+    assert run.split_share() <= 0.1
+    assert run.goodput("", 2.5, SURGE_END_S) >= 0.9 * 500
