Run the whole path with separate processes and at-most-once keys

Cause: the node program was missing its entry point and discovery. Ruled out: keeping the polling directory; its platform reads grow with the square of the fleet.

--- a/packages/coordination/radishtray_coordination/_slot_driver.py
+++ b/packages/coordination/radishtray_coordination/_slot_driver.py
@@ -343,7 +343,8 @@
         """Awaits a platform call; None if it failed or took too long."""
         call.addTimeout(CALL_TIMEOUT_S, self._reactor)
         call.addErrback(_log_failure)
-        return await call
+        result: Result[Any, Any] | None = await call
+        return result
 
     def _use(self, read: _Read) -> None:
         if read.version <= self._read.version:
--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -11,14 +11,17 @@
 
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
+from radishtray_node._directory import Directory
 from radishtray_node._entry import Entry
 from radishtray_node._local_upstream import LocalUpstream
 from radishtray_node._metrics import Metrics
 from radishtray_node._node_server import NodeServer
+from radishtray_node._object_store import ObjectStore
 from radishtray_node._operator_api import OperatorApi
 from radishtray_node._peer_link import PeerLink
 from radishtray_node._running_request import RunningRequests
 from radishtray_node._settings import Settings
+from radishtray_node._slot_service import SlotService
 from radishtray_node._timers import TimerWheel
 from radishtray_node._unknown_outcomes import UnknownOutcomes
 from radishtray_node._upstream_api import UpstreamApi
@@ -40,6 +43,7 @@
     NodeConnection,
     NodeIdentity,
     NodeListener,
+    PlatformClient,
 )
 
 _LOG = logging.getLogger(__name__)
@@ -70,17 +74,22 @@
 
     __slots__ = (
         "_caller_listener",
+        "_directory",
         "_document",
+        "_drained",
         "_entry",
         "_is_draining",
         "_links",
         "_loops",
+        "_members",
         "_node_listener",
         "_node_server",
         "_operator_listener",
         "_reactor",
         "_running",
+        "_slots",
         "_stopped",
+        "_store",
         "_timers",
         "_unknown",
         "_upstream_listener",
@@ -157,6 +166,24 @@
             self.metrics,
             self._link_to,
         )
+        self._store = ObjectStore(
+            PlatformClient(
+                reactor, [settings.platform], token=settings.platform_token
+            )
+        )
+        self._slots = SlotService(
+            reactor,
+            self.clock,
+            rng,
+            self._store,
+            self.key_owner,
+            self.router.keys,
+            self._slot_members,
+            self._send_control,
+            self.router.slot_table_refreshed,
+        )
+        self._directory = Directory(self, self._store)
+        self._members: dict[str, dict[str, Any]] = {}
         self._build_listeners()
         self._loops = [
             (LoopingCall(self.server.expire), _EXPIRE_INTERVAL_S),
@@ -220,6 +247,7 @@
         for loop, interval_s in self._loops:
             loop.clock = self._reactor
             loop.start(interval_s, now=False)
+        self._directory.start()
         _LOG.info("node started", extra={"ports": self.ports()})
         # What exists now lives as long as the process; later collections need
         # not visit it.
@@ -265,21 +293,107 @@
         )
 
     def _is_owner_alive(self, owner: SlotOwner) -> bool:
-        return owner.node_id in self.node_addresses
+        record = self._members.get(owner.node_id)
+        return record is not None and (
+            record["incarnation"] == owner.incarnation
+        )
+
+    def _slot_members(self, service: str) -> list[SlotOwner]:
+        return [
+            SlotOwner(record["node_id"], record["incarnation"])
+            for record in self._members.values()
+            if record["service"] == service and record["serving"]
+        ]
+
+    def own_record(self) -> dict[str, Any]:
+        """Returns what other nodes need to know of this one."""
+        announcement = self.upstream.announcement
+        port = self._node_listener.port
+        return {
+            "node_id": self.identity.node_id,
+            "incarnation": self.identity.incarnation,
+            "failure_domain": self.settings.failure_domain,
+            "node_address": f"{self.settings.address}:{port}",
+            "service": self.upstream.service,
+            "slots": announcement.slots if announcement else 0,
+            "serving": announcement is not None and not self._is_draining,
+        }
+
+    def members_read(self, records: list[dict[str, Any]]) -> None:
+        """Takes the records of all nodes."""
+        found = {record["node_id"]: record for record in records}
+        if found == self._members:
+            return
+        services = {
+            record["service"]
+            for record in [*found.values(), *self._members.values()]
+        }
+        for node_id, record in found.items():
+            host, _, port = record["node_address"].rpartition(":")
+            address = (host, int(port))
+            if self.node_addresses.get(node_id, address) != address:
+                self.router.forget(node_id)
+            self.node_addresses[node_id] = address
+        self._members = found
+        for service in services - {""}:
+            self.router.set_candidates(service, self._candidates(service))
+            self._slots.members_changed(service)
+
+    def _candidates(self, service: str) -> list[Candidate]:
+        return [
+            Candidate(
+                record["node_id"], record["failure_domain"], record["slots"]
+            )
+            for record in self._members.values()
+            if record["service"] == service and record["serving"]
+        ]
 
     def _upstream_changed(self) -> None:
-        """Tells the other nodes about the upstream."""
+        """Takes up the slots of the upstream's service."""
+        self._slots.serve(self.upstream.service)
 
     def _upstream_crashed(self) -> None:
         self.server.upstream_crashed()
 
+    def _send_control(self, node_id: str, frame: wire.Frame) -> bool:
+        return self.router.send_control(node_id, frame)
+
     def _control_received(
         self, connection: NodeConnection, frame: wire.Frame
     ) -> None:
         """Answers a control frame of another node."""
+        if frame.slot_table_pull is not None:
+            reply = self._slots.table_reply(frame.slot_table_pull)
+            if reply is not None:
+                connection.send(reply)
+        elif frame.slot_table_push is not None:
+            self._slots.table_received(frame.slot_table_push)
+        elif frame.key_records is not None:
+            connection.send(self._slots.records_received(frame.key_records))
 
     def _reply_received(self, frame: wire.Frame) -> None:
         """Takes the reply to a control frame."""
+        if frame.slot_table_push is not None:
+            self._slots.table_received(frame.slot_table_push)
+        elif frame.key_records_ack is not None:
+            self._slots.records_acknowledged(frame.key_records_ack)
+
+    def reload_keys(self) -> None:
+        """Reads the cluster keys file again."""
+        path = self.settings.cluster_keys_file
+        if not path:
+            return
+        try:
+            with open(path, encoding="ascii") as file:
+                result = self.settings.cluster_keys.reload(file.read())
+        except (OSError, UnicodeDecodeError) as error:
+            _LOG.error("cluster keys not read", extra={"error": str(error)})
+            return
+        if result.is_error():
+            errors = [str(error) for error in result.error]
+            _LOG.error("cluster keys rejected", extra={"errors": errors})
+        else:
+            _LOG.info("cluster keys reloaded")
 
     def _every_second(self) -> None:
         self.upstream.check_heartbeat()
@@ -296,6 +410,10 @@
             "service": self.upstream.service,
             "generation": self.router.generation,
             "draining": self._is_draining,
+            "members": len(self._members),
+            "members_serving": sum(
+                record["serving"] for record in self._members.values()
+            ),
             "in_flight": admission.in_flight,
             "queued": admission.queued,
             "threshold": admission.threshold,
@@ -312,10 +430,13 @@
         self.server.is_draining = True
         self._entry.is_draining = True
         self.key_owner.stop_accepting()
+        self._drained: Deferred[None] = Deferred()
+        left = self._slots.leave(self._drained)
+        left.addBoth(lambda _: self.close())
         deadline_s = self.clock.monotonic() + self.settings.drain_time
-        self._reactor.callLater(_LINGER_S, self._finish_drain, deadline_s)
+        self._reactor.callLater(_LINGER_S, self._check_drained, deadline_s)
 
-    def _finish_drain(self, deadline_s: float) -> None:
+    def _check_drained(self, deadline_s: float) -> None:
         is_idle = not (
             self._entry.active
             or self.server.unfinished
@@ -324,10 +445,10 @@
         if is_idle or self.clock.monotonic() >= deadline_s:
             if not is_idle:
                 _LOG.warning("drain time is over with unfinished requests")
-            self.close()
+            self._drained.callback(None)
         else:
             self._reactor.callLater(
-                _DRAIN_POLL_S, self._finish_drain, deadline_s
+                _DRAIN_POLL_S, self._check_drained, deadline_s
             )
 
     @property
@@ -340,6 +461,8 @@
         for loop, _ in self._loops:
             if loop.running:
                 loop.stop()
+        self._slots.close()
+        self._directory.close()
         self._caller_listener.close()
         self._upstream_listener.close()
         self._operator_listener.close()
--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -208,15 +208,25 @@
         nodes = self._candidates.get(service, ())
         targets = self._rng.sample(nodes, min(_PULL_TARGETS, len(nodes)))
         for node_id in targets:
-            link = self._link(node_id)
-            if link is not None:
-                link.send_control(frame)
+            self.send_control(node_id, frame)
 
     def slot_table_refreshed(self, service: str) -> None:
         """Continues the calls that wait for a service's table."""
         for done in self._table_waiters.pop(service, ()):
             done()
 
+    def send_control(self, node_id: str, frame: wire.Frame) -> bool:
+        """Sends a frame that needs no settlement.
+
+        Returns:
+            False if the node has no known address.
+        """
+        link = self._link(node_id)
+        if link is None:
+            return False
+        link.send_control(frame)
+        return True
+
     def _link(self, node_id: str) -> PeerLink | None:
         link = self._links.get(node_id)
         if link is None and node_id != self._node_id:
--- /dev/null
+++ b/packages/node/radishtray_node/main.py
@@ -0,0 +1,54 @@
+"""Entry point of `radishtray-node`."""
+
+import json
+import os
+import signal
+import sys
+from typing import Any
+
+from twisted.internet import reactor as default_reactor
+
+from radishtray_node._application import Application
+from radishtray_node._logs import configure_logging
+from radishtray_node._settings import parse_settings
+
+_USAGE_EXIT_CODE = 2
+
+
+def main() -> int:
+    """Runs one node until it is told to stop.
+
+    Returns:
+        Exit code: 0 after a graceful shutdown, 2 for faulty settings.
+    """
+    parsed = parse_settings(sys.argv[1:], os.environ)
+    if parsed.is_error():
+        for finding in parsed.error:
+            print(f"radishtray-node: {finding}", file=sys.stderr)
+        return _USAGE_EXIT_CODE
+    settings = parsed.ok
+    configure_logging(settings.node_id, settings.log_level)
+    reactor: Any = default_reactor
+    application = Application(reactor, settings)
+    application.stopped.addCallback(lambda _: reactor.stop())
+
+    def drain(_signal: int, _frame: object) -> None:
+        reactor.callFromThread(application.drain)
+
+    def reload_keys(_signal: int, _frame: object) -> None:
+        reactor.callFromThread(application.reload_keys)
+
+    def start() -> None:
+        application.start()
+        print(json.dumps({"ports": application.ports()}), flush=True)
+
+    signal.signal(signal.SIGTERM, drain)
+    signal.signal(signal.SIGINT, drain)
+    signal.signal(signal.SIGHUP, reload_keys)
+    reactor.callWhenRunning(start)
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/transport/radishtray_transport/__init__.py
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -20,8 +20,22 @@
     Signer,
     open_node_connection,
 )
+from radishtray_transport.platform_client import (
+    ABSENT_VERSION,
+    Conflict,
+    ListedObject,
+    NotFound,
+    OutcomeUnknown,
+    PlatformClient,
+    PlatformFault,
+    PlatformObject,
+    Rejected,
+    Unreachable,
+)
 
 __all__ = [
+    "ABSENT_VERSION",
+    "Conflict",
     "ConnectionEvents",
     "HeaderList",
     "HttpAnswer",
@@ -29,11 +43,19 @@
     "HttpLimits",
     "HttpRequest",
     "HttpServer",
+    "ListedObject",
     "NodeConnection",
     "NodeIdentity",
     "NodeListener",
+    "NotFound",
+    "OutcomeUnknown",
     "PendingRequest",
+    "PlatformClient",
+    "PlatformFault",
+    "PlatformObject",
+    "Rejected",
     "RequestFailure",
     "Signer",
+    "Unreachable",
     "open_node_connection",
 ]
