--- a/packages/protocol/radishtray_protocol/__init__.py
+++ b/packages/protocol/radishtray_protocol/__init__.py
@@ -53,6 +53,11 @@
     section_digest,
     split_sections,
 )
+from radishtray_protocol._slot_codec import (
+    SlotCodecError,
+    decode_slot_table,
+    encode_slot_table,
+)
 
 __all__ = [
     "DEFAULTS_KEYS",
@@ -81,10 +86,13 @@
     "ReleaseError",
     "RequestKind",
     "ServiceSection",
+    "SlotCodecError",
     "combine_sources",
     "decode_release",
+    "decode_slot_table",
     "decode_struct",
     "encode_frame",
+    "encode_slot_table",
     "encode_struct",
     "join_sections",
     "next_release",
--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -32,6 +32,7 @@
     encode_struct,
     wire,
 )
+from radishtray_transport._direct_writer import DirectWriter
 
 _LOG = logging.getLogger(__name__)
 _NONCE_BYTES = 16
@@ -142,6 +143,7 @@
     def connectionMade(self) -> None:
         """Sends the hello and starts the time limit of the handshake."""
         self.transport.setTcpNoDelay(True)
+        self._writer = DirectWriter(self.transport)
         self.last_received_s = self._reactor.seconds()
         self._timer = self._reactor.callLater(
             _HANDSHAKE_TIMEOUT_S, self._reject, "handshake_timeout"
@@ -150,7 +152,7 @@
 
     def send(self, frame: wire.Frame) -> None:
         """Hands a frame to the socket."""
-        self.transport.write(encode_frame(frame))
+        self._writer.write(encode_frame(frame))
 
     def dataReceived(self, data: bytes) -> None:
         """Decodes and handles received frames."""
@@ -200,7 +202,9 @@
         if frame.ping is not None:
             pong = wire.Pong(sequence=frame.ping.sequence)
             self.send(wire.Frame(pong=pong))
-        elif frame.pong is None:
+        elif frame.pong is not None:
+            self._events.pong_received(self, frame.pong.sequence)
+        else:
             self._events.frame_received(self, frame)
 
     def ping(self, sequence: int) -> None:
@@ -249,6 +253,10 @@
         """A frame arrived from a verified peer."""
         ...
 
+    def pong_received(self, connection: NodeConnection, sequence: int) -> None:
+        """The peer has read everything sent before the ping."""
+        ...
+
     def connection_rejected(self, reason: str) -> None:
         """The connection is aborted for the counted reason."""
         ...
@@ -381,6 +389,10 @@
         """Passes the event on."""
         self._events.frame_received(connection, frame)
 
+    def pong_received(self, connection: NodeConnection, sequence: int) -> None:
+        """Passes the event on."""
+        self._events.pong_received(connection, sequence)
+
     def connection_rejected(self, reason: str) -> None:
         """Passes the event on."""
         self._events.connection_rejected(reason)
