Find path templates by shape instead of one by one

Cause: a service with ten templates of one length took 2.7 to 3.7 us for a request in a timeit run. Change: templates with parameters at the same places share one dict. Ruled out: a cache of matched paths, which callers can fill at will.

--- a/packages/protocol/radishtray_protocol/_document.py
+++ b/packages/protocol/radishtray_protocol/_document.py
@@ -10,6 +10,7 @@
     SAFE_METHODS,
     PriorityClass,
 )
+from radishtray_protocol._path_index import PathIndex
 from radishtray_protocol._path_template import PathTemplate
 
 DEFAULTS_SECTION: Final = "defaults"
@@ -152,7 +153,7 @@
 class Document:
     """All sections, compiled for classification of requests."""
 
-    __slots__ = ("_literals", "_templates", "defaults_owner", "services")
+    __slots__ = ("_paths", "defaults_owner", "services")
 
     def __init__(
         self,
@@ -170,21 +171,13 @@
         """
         self.defaults_owner = defaults_owner
         self.services: dict[str, ServiceSection] = {}
-        self._literals: dict[tuple[str, str, str], RequestKind] = {}
-        self._templates: dict[tuple[str, str, int], list[RequestKind]] = {}
+        self._paths: PathIndex[RequestKind] = PathIndex()
         for section in services:
             if section.name in self.services:
                 raise ValueError(f"service {section.name} occurs twice")
             self.services[section.name] = section
             for kind in section.kinds.values():
-                self._index(kind)
-
-    def _index(self, kind: RequestKind) -> None:
-        if kind.template.is_literal:
-            self._literals[kind.service, kind.method, kind.path] = kind
-            return
-        key = (kind.service, kind.method, kind.template.segment_count)
-        self._templates.setdefault(key, []).append(kind)
+                self._paths.add(kind.service, kind.method, kind.template, kind)
 
     @property
     def owners(self) -> Mapping[str, str]:
@@ -212,13 +205,4 @@
         Returns:
             The kind, or None if the service has none for the request.
         """
-        kind = self._literals.get((service, method, path))
-        if kind is not None:
-            return kind
-        segments = path.split("/")
-        candidates = self._templates.get((service, method, len(segments)))
-        if candidates is not None:
-            for candidate in candidates:
-                if candidate.template.matches(segments):
-                    return candidate
-        return None
+        return self._paths.find(service, method, path)
--- a/packages/protocol/radishtray_protocol/_parse.py
+++ b/packages/protocol/radishtray_protocol/_parse.py
@@ -434,7 +434,7 @@
             if method is None or path is None:
                 continue
             template = PathTemplate(path.value)
-            key = (method.value, template.segment_count)
+            key = (method.value, len(template.segments))
             others = known.setdefault(key, [])
             for other_name, other in others:
                 if other.is_literal == template.is_literal and other.overlaps(
--- a/packages/protocol/radishtray_protocol/_path_template.py
+++ b/packages/protocol/radishtray_protocol/_path_template.py
@@ -8,15 +8,15 @@
 
 
 class PathTemplate:
-    """A path that matches by segments.
+    """The path of a request kind.
 
-    >>> PathTemplate("/obras/{obra}").matches(("", "obras", "7"))
-    True
-    >>> PathTemplate("/obras/{obra}").matches(("", "obras", ""))
-    False
+    Attributes:
+        text: The path as written.
+        segments: The path split at its slashes; the first one is empty.
+        literal_indexes: Indexes of the segments that are literal.
     """
 
-    __slots__ = ("_literals", "_parameters", "segment_count", "text")
+    __slots__ = ("literal_indexes", "segments", "text")
 
     def __init__(self, text: str) -> None:
         """Compiles a path.
@@ -30,45 +30,28 @@
         problem = path_problem(text)
         if problem:
             raise ValueError(f"path {text!r}: {problem}")
-        segments = text.split("/")
         self.text = text
-        self.segment_count = len(segments)
-        self._literals = tuple(
-            (index, segment)
-            for index, segment in enumerate(segments)
-            if not _PARAMETER.match(segment)
-        )
-        self._parameters = tuple(
+        self.segments = tuple(text.split("/"))
+        self.literal_indexes = tuple(
             index
-            for index, segment in enumerate(segments)
-            if _PARAMETER.match(segment)
+            for index, segment in enumerate(self.segments)
+            if not _PARAMETER.match(segment)
         )
 
     @property
     def is_literal(self) -> bool:
         """Whether the path has no {name} segment."""
-        return not self._parameters
-
-    def matches(self, segments: list[str] | tuple[str, ...]) -> bool:
-        """Whether a path of the same segment count matches.
-
-        Args:
-            segments: The path split at its slashes.
-        """
-        for index, literal in self._literals:
-            if segments[index] != literal:
-                return False
-        # A parameter stands for a segment of at least one character.
-        return all(segments[index] for index in self._parameters)
+        return len(self.literal_indexes) == len(self.segments)
 
     def overlaps(self, other: "PathTemplate") -> bool:
         """Whether some path matches both templates."""
-        if self.segment_count != other.segment_count:
+        if len(self.segments) != len(other.segments):
             return False
-        mine = dict(self._literals)
+        mine = set(self.literal_indexes)
         return all(
-            mine.get(index, literal) == literal
-            for index, literal in other._literals
+            self.segments[index] == other.segments[index]
+            for index in other.literal_indexes
+            if index in mine
         )
 
 
