--- a/packages/testing/radishtray_testing/tests/test_ctl.py
+++ b/packages/testing/radishtray_testing/tests/test_ctl.py
@@ -15,7 +15,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
-from radishtray_ctl._arguments import build_parser
+from radishtray_ctl._arguments import COMMANDS, build_parser
 from radishtray_ctl.main import run_command
 from radishtray_protocol import (
     RELEASE_OBJECT,
@@ -400,3 +400,12 @@
     with pytest.raises(SystemExit) as caught:
         build_parser().parse_args(words)
     assert caught.value.code == 2
+
+
+def test_every_command_and_setting_is_documented() -> None:
+    page = (EXAMPLES.parent / "docs" / "cli.md").read_text("utf-8")
+    for entry in COMMANDS.values():
+        assert f"| `{entry.name}" in page, entry.name
+        for setting in entry.settings:
+            row = f"| `{setting.flag}` | `{setting.variable}` |"
+            assert row in page, row
