--- a/packages/testing/radishtray_testing/processes.py
+++ b/packages/testing/radishtray_testing/processes.py
@@ -1,4 +1,4 @@
-"""Starts and ends the processes of a local deployment for tests and the demo."""
+"""Starts and ends the processes of a local deployment for tests."""
 
 import json
 import os
@@ -50,7 +50,9 @@
         line = self._process.stdout.readline()
         if not line:
             code = self._process.wait(timeout=_READY_TIMEOUT_S)
-            raise RuntimeError(f"{name} ended with {code}; see {self._log.name}")
+            raise RuntimeError(
+                f"{name} ended with {code}; see {self._log.name}"
+            )
         self.ready: dict[str, Any] = json.loads(line)
 
     @property
