Show findings of apply at their places in the team's files

Cause: apply reported a call to an unknown kind by the line in the stored section, which differs from the line in the file. Change: the whole document is checked with the files themselves as long as they hold what would be in force; tokens must be ASCII; a program fault or a signal ends with 3, not with the code of a refusal. Result: make check types and the tests of radishtrayctl pass, also as a subprocess for exit codes 0 to 3. Ruled out: mapping stored lines back to files, which breaks after a rebase.

--- a/packages/ctl/radishtray_ctl/_apply.py
+++ b/packages/ctl/radishtray_ctl/_apply.py
@@ -246,14 +246,19 @@
     Raises:
         CommandError: With all findings.
     """
-    kept = {n: d for n, d in current.items() if n not in edit.texts}
-    texts = await store.texts(kept)
-    for name, text in edit.texts.items():
-        if text is not None:
-            texts[name] = text
-    parsed = parse_document(
-        {f"section {name}": text for name, text in texts.items()}
-    )
+    # Findings in the team's own files have the places of those files.
+    use_files = edit.files_are_current(current)
+    replaced = {*edit.texts, *edit.carried} if use_files else {*edit.texts}
+    kept = {n: d for n, d in current.items() if n not in replaced}
+    stored = await store.texts(kept)
+    if not use_files:
+        for name, text in edit.texts.items():
+            if text is not None:
+                stored[name] = text
+    sources = {f"section {name}": text for name, text in stored.items()}
+    if use_files:
+        sources.update(edit.files)
+    parsed = parse_document(sources)
     if parsed.is_error():
         raise findings_error(parsed.error)
 
--- a/packages/ctl/radishtray_ctl/_arguments.py
+++ b/packages/ctl/radishtray_ctl/_arguments.py
@@ -71,6 +71,12 @@
     return author
 
 
+def _token(text: str) -> str:
+    if not text.isascii() or not text.isprintable() or " " in text:
+        raise ValueError("expected printable ASCII without spaces")
+    return text
+
+
 def _node(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     if not host or not 0 < int(port) < 65536:
@@ -87,7 +93,7 @@
         "http://IP:PORT of the platform's object API; a comma separates"
         " several, which are tried in turn",
     ),
-    Setting("platform_token", str, "", "bearer token of the object API"),
+    Setting("platform_token", _token, "", "bearer token of the object API"),
     _TIMEOUT,
 )
 AUTHOR_SETTINGS: Final = (
@@ -95,7 +101,7 @@
 )
 NODE_SETTINGS: Final = (
     Setting("node", _node, None, "HOST:PORT of the node's operators' listener"),
-    Setting("operator_token", str, "", "bearer token of the operators' API"),
+    Setting("operator_token", _token, "", "bearer token of the operators' API"),
     _TIMEOUT,
 )
 
--- a/packages/ctl/radishtray_ctl/_config_commands.py
+++ b/packages/ctl/radishtray_ctl/_config_commands.py
@@ -27,6 +27,7 @@
     base_line,
     build_edit,
     build_rollback,
+    require_sections,
     sections_at,
 )
 from radishtray_ctl._errors import CommandError, ExitCode, findings_error
@@ -131,7 +132,7 @@
         "--change-id", metavar="ID", help="show only the change with this id"
     )
     parser.add_argument(
-        "--limit", type=int, default=20, metavar="N", help="default: 20"
+        "--limit", type=_generation, default=20, metavar="N", help="default: 20"
     )
 
 
@@ -317,7 +318,7 @@
     if options.generation is not None:
         generation = options.generation
         sections = sections_at(release, generation)
-    _require_sections(options.section, sections)
+    require_sections(options.section, sections, f"generation {generation}")
     if options.section:
         sections = {name: sections[name] for name in options.section}
     texts = await store.texts(sections)
@@ -338,16 +339,6 @@
     return loaded.release
 
 
-def _require_sections(names: list[str], sections: dict[str, str]) -> None:
-    missing = sorted(set(names) - set(sections))
-    if missing:
-        raise CommandError(
-            ExitCode.REFUSED,
-            "unknown_section",
-            f"there is no section {', '.join(missing)}",
-        )
-
-
 def _write_sections(
     directory: Path, texts: dict[str, str], bases: dict[str, str]
 ) -> list[str]:
@@ -425,7 +416,11 @@
     loaded = await store.load()
     release = _require_release(loaded)
     sections = sections_at(release, options.generation)
-    _require_sections(options.section, {**dict(release.sections), **sections})
+    require_sections(
+        options.section,
+        {*release.sections, *sections},
+        f"generation {options.generation} or in force",
+    )
     wanted = {
         name: digest
         for name, digest in sections.items()
--- a/packages/ctl/radishtray_ctl/_edits.py
+++ b/packages/ctl/radishtray_ctl/_edits.py
@@ -33,23 +33,41 @@
         stale: Sections left alone, because the file holds the version that it
             started from or an earlier one of the history.
         note: Text for the history.
+        files: The files that the texts come from, for places of findings.
+        carried: Digest of each section that is in the files but no edit.
     """
 
-    __slots__ = ("bases", "note", "stale", "texts")
+    __slots__ = ("bases", "carried", "files", "note", "stale", "texts")
 
     def __init__(
         self,
         texts: Mapping[str, str | None],
         bases: Mapping[str, str | None],
+        *,
         stale: Collection[str] = (),
         note: str = "",
+        files: Mapping[str, str] | None = None,
+        carried: Mapping[str, str] | None = None,
     ) -> None:
         """Holds an edit; the class describes the parts."""
+        self.files = dict(files or {})
+        self.carried = dict(carried or {})
         self.texts = dict(texts)
         self.bases = dict(bases)
         self.stale = sorted(stale)
         self.note = note
 
+    def files_are_current(self, current: Mapping[str, str]) -> bool:
+        """Whether the files hold the document as the edit would make it.
+
+        Args:
+            current: Digest by section name in force.
+        """
+        after = {**current, **self.digests()}
+        return bool(self.files) and all(
+            after.get(name) == digest for name, digest in self.carried.items()
+        )
+
     def digests(self) -> dict[str, str | None]:
         """Returns the new digest by section name."""
         return {
@@ -85,9 +103,9 @@
         bases.update(_BASE_LINE.findall(text))
     if base_generation is not None:
         bases = _bases_at(release, base_generation, [*found, *remove])
-    _require(only, found, "the files")
+    require_sections(only, found, "the files")
     current = release.sections if release else {}
-    _require(remove, current, "the release")
+    require_sections(remove, current, "the release")
     chosen = {n: t for n, t in found.items() if not only or n in only}
     edited: dict[str, str | None] = dict.fromkeys(remove)
     stale = []
@@ -109,7 +127,17 @@
             stale.append(name)
         else:
             edited[name] = text
-    return Edit(edited, {n: d for n, d in bases.items() if n in edited}, stale)
+    return Edit(
+        edited,
+        {name: digest for name, digest in bases.items() if name in edited},
+        stale=stale,
+        files=files,
+        carried={
+            name: section_digest(text)
+            for name, text in found.items()
+            if edited.get(name) is None
+        },
+    )
 
 
 def build_rollback(
@@ -168,15 +196,23 @@
     }
 
 
-def _require(
+def require_sections(
     names: Collection[str], known: Collection[str], place: str
 ) -> None:
+    """Refuses names that are not known.
+
+    Args:
+        names: Section names that an operator gave.
+        known: Sections that there are.
+        place: Where they are, for the message.
+
+    Raises:
+        CommandError: If a name is not known.
+    """
     missing = sorted(set(names) - set(known))
     if missing:
         raise CommandError(
             ExitCode.REFUSED,
             "unknown_section",
-            f"{place} have no section {', '.join(missing)}"
-            if place == "the files"
-            else f"{place} has no section {', '.join(missing)}",
+            f"there is no section {', '.join(missing)} in {place}",
         )
--- a/packages/ctl/radishtray_ctl/_release_store.py
+++ b/packages/ctl/radishtray_ctl/_release_store.py
@@ -163,9 +163,18 @@
         Args:
             loaded: What was read.
             release: The release to follow it.
+
+        Raises:
+            CommandError: If the release is too long for one object.
         """
+        try:
+            value = release.encode()
+        except ValueError as error:
+            raise CommandError(
+                ExitCode.REFUSED, "too_large", str(error)
+            ) from error
         result: Result[str, PlatformFault] = await self._client.put(
-            RELEASE_OBJECT, release.encode(), if_version=loaded.version
+            RELEASE_OBJECT, value, if_version=loaded.version
         )
         return result
 
--- a/packages/ctl/radishtray_ctl/main.py
+++ b/packages/ctl/radishtray_ctl/main.py
@@ -35,10 +35,11 @@
 
     try:
         react(run, [])
-    except SystemExit as error:
+    except SystemExit:
         if not codes:
-            # A signal ended the command before its outcome was known.
-            return int(error.code or ExitCode.UNREACHABLE)
+            # A signal or a fault of the program ended the command, so its
+            # outcome is not known.
+            return ExitCode.UNREACHABLE
     return codes[0]
 
 
--- a/packages/testing/radishtray_testing/tests/test_ctl.py
+++ b/packages/testing/radishtray_testing/tests/test_ctl.py
@@ -2,6 +2,9 @@
 
 import io
 import json
+import os
+import subprocess
+import sys
 from collections.abc import Callable
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -319,11 +322,18 @@
     ) -> None:
         self.start()
         text = section("alfa").replace("/k,", "/k, calls: [beta/no],")
-        path = self.write("alfa.yaml", text)
-        code, shown = await self.ctl("config", "apply", path)
-        self.assertEqual((code, shown["error"]), (1, "findings"))
-        finding = shown["findings"][0]
-        self.assertEqual(finding["key"], "kinds.k.calls")
+        path = self.write("alfa.yaml", "# One more line.\n", text)
+        stale = self.write("stale.yaml", section("gama", 3))
+        cases = {
+            (path,): (path, 7),
+            (path, stale, "--section", "alfa"): ("section alfa", 6),
+        }
+        for words, place in cases.items():
+            code, shown = await self.ctl("config", "apply", *words)
+            self.assertEqual((code, shown["error"]), (1, "findings"))
+            (finding,) = shown["findings"]
+            self.assertEqual(finding["key"], "kinds.k.calls")
+            self.assertEqual((finding["source"], finding["line"]), place)
         self.assertEqual(self.standin.release.generation, 3)
 
     async def test_check_reports_each_planted_fault_at_its_place(self) -> None:
@@ -402,6 +412,29 @@
     assert caught.value.code == 2
 
 
+@pytest.mark.parametrize(
+    ("words", "exit_code"),
+    [
+        (["config", "check", str(EXAMPLES)], 1),  # Two documents in one.
+        (["config", "check", str(EXAMPLES / "fundacion.yaml")], 0),
+        (["config", "show"], 2),
+        (["config", "show", "--platform", "http://127.0.0.1:1"], 3),
+        (["status", "--node", "127.0.0.1:1", "--operator-token", "é"], 2),
+    ],
+    ids=str,
+)
+def test_program_ends_with_the_exit_code(
+    words: list[str], exit_code: int
+) -> None:
+    command = [sys.executable, "-m", "radishtray_ctl.main", *words]
+    environment = {"PATH": os.environ["PATH"], "LANG": "C.UTF-8"}
+    done = subprocess.run(
+        command, env=environment, capture_output=True, check=False
+    )
+    assert done.returncode == exit_code, done.stderr
+    assert b"Traceback" not in done.stderr
+
+
 def test_every_command_and_setting_is_documented() -> None:
     page = (EXAMPLES.parent / "docs" / "cli.md").read_text("utf-8")
     for entry in COMMANDS.values():
