--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -10,8 +10,102 @@
     Ticket,
     admission_policy,
 )
-from radishtray_state._clock import Clock, ManualClock, SystemClock
+from radishtray_state._attempts import (
+    AttemptBounds,
+    AttemptPhase,
+    AttemptState,
+    AttemptTable,
+    ConnectionRejection,
+    ConnectionToken,
+)
+from radishtray_state._clock import (
+    Clock,
+    ManualClock,
+    SystemClock,
+)
+from radishtray_state._crash_suspects import (
+    CrashSuspect,
+    CrashSuspects,
+    SuspectVerdict,
+    fingerprint,
+    suspect_host,
+)
+from radishtray_state._gossip import (
+    Datagram,
+    GossipKind,
+    GossipMessage,
+    SuspectNote,
+    ViewSummary,
+)
+from radishtray_state._key_owner import (
+    KeyBounds,
+    KeyDecision,
+    KeyOwner,
+    KeyRecord,
+    KeyRecords,
+    KeyVerdict,
+)
+from radishtray_state._key_routing import (
+    KeyForward,
+    KeyRefresh,
+    KeyRefusal,
+    KeyRoute,
+    KeyRouter,
+)
+from radishtray_state._key_slots import (
+    HORIZON_MS,
+    REPLACEMENT_MARGIN_MS,
+    SlotInterval,
+    SlotOwner,
+    SlotTable,
+    boundaries,
+    claim_free,
+    extend_horizon,
+    hand_over,
+    prune,
+    rebalance,
+    replace_dead,
+)
+from radishtray_state._lease import (
+    LeaseAction,
+    LeaseDecision,
+    LeaseObserver,
+    LeaseRecord,
+)
+from radishtray_state._member import (
+    MemberChange,
+    MemberRecord,
+    MemberState,
+)
+from radishtray_state._membership import Membership
+from radishtray_state._membership_parameters import MembershipParameters
+from radishtray_state._outstanding_attempts import (
+    AttemptVerdict,
+    OutstandingAttempts,
+    Reopened,
+    SettledAttempt,
+)
 from radishtray_state._refusal import OutcomeFamily, RefusalReason
+from radishtray_state._release import (
+    ReleasePullPlan,
+    ReleaseTracker,
+)
+from radishtray_state._request_key import (
+    SLOT_COUNT,
+    KeyFault,
+    KeyParseError,
+    RequestKey,
+)
+from radishtray_state._retry_budget import AttemptGrant, RetryLedger
+from radishtray_state._retry_policy import (
+    RETRY_RULES,
+    RetryAdvice,
+    RetryDenial,
+    RetryPolicy,
+    RetryThrottle,
+    RetryVerdict,
+    retry_rule,
+)
 from radishtray_state._selection import (
     SELECTION_POLICIES,
     Candidate,
@@ -21,17 +115,84 @@
 
 __all__ = [
     "ADMISSION_POLICIES",
+    "HORIZON_MS",
+    "REPLACEMENT_MARGIN_MS",
+    "RETRY_RULES",
     "SELECTION_POLICIES",
+    "SLOT_COUNT",
     "AdmissionController",
     "AdmissionPolicy",
+    "AttemptBounds",
+    "AttemptGrant",
+    "AttemptPhase",
+    "AttemptState",
+    "AttemptTable",
+    "AttemptVerdict",
     "Candidate",
     "Clock",
+    "ConnectionRejection",
+    "ConnectionToken",
+    "CrashSuspect",
+    "CrashSuspects",
+    "Datagram",
+    "GossipKind",
+    "GossipMessage",
+    "KeyBounds",
+    "KeyDecision",
+    "KeyFault",
+    "KeyForward",
+    "KeyOwner",
+    "KeyParseError",
+    "KeyRecord",
+    "KeyRecords",
+    "KeyRefresh",
+    "KeyRefusal",
+    "KeyRoute",
+    "KeyRouter",
+    "KeyVerdict",
+    "LeaseAction",
+    "LeaseDecision",
+    "LeaseObserver",
+    "LeaseRecord",
     "ManualClock",
+    "MemberChange",
+    "MemberRecord",
+    "MemberState",
+    "Membership",
+    "MembershipParameters",
     "OutcomeFamily",
+    "OutstandingAttempts",
     "RefusalReason",
+    "ReleasePullPlan",
+    "ReleaseTracker",
+    "Reopened",
+    "RequestKey",
+    "RetryAdvice",
+    "RetryDenial",
+    "RetryLedger",
+    "RetryPolicy",
+    "RetryThrottle",
+    "RetryVerdict",
+    "SettledAttempt",
+    "SlotInterval",
+    "SlotOwner",
+    "SlotTable",
+    "SuspectNote",
+    "SuspectVerdict",
     "SystemClock",
     "Ticket",
     "UpstreamSelector",
+    "ViewSummary",
     "admission_policy",
+    "boundaries",
+    "claim_free",
+    "extend_horizon",
+    "fingerprint",
+    "hand_over",
+    "prune",
+    "rebalance",
+    "replace_dead",
+    "retry_rule",
     "selection_policy",
+    "suspect_host",
 ]
