Redirect keyed calls while a slot changes owners

Cause: a demo drained a slot owner; a key whose slot was being handed over had no owner for the time of a platform write and would have ended as key_owner_gone. Shares given to new members took two minutes, so one node ran all keyed work of a fresh fleet. Change: up to four delayed redirects for each call, counted and outside the retry budget because no owner ran anything; the lead of a voluntary boundary is 10 s, and a refused key makes the node read the table. Ruled out: boundaries at once, since the gainer must learn of them first.

--- a/packages/coordination/radishtray_coordination/_slot_driver.py
+++ b/packages/coordination/radishtray_coordination/_slot_driver.py
@@ -44,7 +44,7 @@
 """An interval is extended when this much of the horizon is used: 15 min."""
 
 POLL_S: Final = 60.0
-"""Time between reads; half of the lead of a voluntary boundary."""
+"""Time between reads; a table in which a member gains slots is pushed."""
 
 CALL_TIMEOUT_S: Final = 5.0
 """A platform call without an answer counts as lost after this time."""
@@ -121,6 +121,7 @@
         "_closed",
         "_dead",
         "_is_missing",
+        "_is_refreshing",
         "_leaving",
         "_members",
         "_name",
@@ -189,6 +190,7 @@
         self._wake_again = False
         self._leaving = False
         self._closed = False
+        self._is_refreshing = False
 
     @property
     def table(self) -> SlotTable:
@@ -214,6 +216,12 @@
         if self._read.version < 0 or self._plan(self._read) != self.table:
             self._schedule(self._spread())
 
+    def refresh(self) -> None:
+        """Reads the table soon, because a sender may know a newer one."""
+        if self._timer is None or not self._is_refreshing:
+            self._is_refreshing = True
+            self._schedule(self._spread())
+
     def proven_dead(self, dead: SlotOwner) -> None:
         """Replaces an owner whose process has ended.
 
@@ -415,6 +423,7 @@
 
     def _wake(self) -> None:
         self._busy = True
+        self._is_refreshing = False
         Deferred.fromCoroutine(self._settle()).addCallbacks(
             self._woken, self._failed
         )
--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -148,6 +148,7 @@
             self.key_owner,
             self._running,
             self.metrics,
+            self._key_not_owned,
         )
         self.router = CallRouter(
             settings.node_id,
@@ -298,6 +299,9 @@
             record["incarnation"] == owner.incarnation
         )
 
+    def _key_not_owned(self) -> None:
+        self._slots.refresh()
+
     def _slot_members(self, service: str) -> list[SlotOwner]:
         return [
             SlotOwner(record["node_id"], record["incarnation"])
@@ -414,6 +418,7 @@
             "members_serving": sum(
                 record["serving"] for record in self._members.values()
             ),
+            "key_slots_owned": self._slots.owned_count,
             "in_flight": admission.in_flight,
             "queued": admission.queued,
             "threshold": admission.threshold,
--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -121,6 +121,8 @@
         decision = server.key_owner.offer(self._call.service_name, key, digest)
         if decision.verdict is KeyVerdict.REFUSED:
             assert decision.reason is not None
+            if decision.reason is RefusalReason.KEY_NOT_OWNED:
+                server.on_key_not_owned()
             self._refuse(decision.reason)
         elif decision.verdict is KeyVerdict.ANSWERED:
             assert decision.answer is not None
--- a/packages/node/radishtray_node/_metrics.py
+++ b/packages/node/radishtray_node/_metrics.py
@@ -87,6 +87,7 @@
         retries: Further attempts, by the reason of the failed one.
         retry_denials: Failed attempts that were not followed by another, by
             reason.
+        key_redirects: Keyed calls sent to another owner of their slot.
         refusals: Refusals that this node decided, by reason.
         refusals_delivered: Refusals sent to callers, by reason.
         rejected: Rejected input, by listener and reason.
@@ -101,6 +102,7 @@
         "attempts",
         "calls",
         "connections",
+        "key_redirects",
         "refusals",
         "refusals_delivered",
         "rejected",
@@ -143,6 +145,11 @@
             ["reason"],
             registry=registry,
         )
+        self.key_redirects = Counter(
+            "radishtray_key_redirects",
+            "Keyed calls that were sent to another owner of their slot.",
+            registry=registry,
+        )
         self.refusals = Counter(
             "radishtray_refusals",
             "Refusals decided by this node.",
--- a/packages/node/radishtray_node/_outgoing_call.py
+++ b/packages/node/radishtray_node/_outgoing_call.py
@@ -23,6 +23,8 @@
 # Taken off the deadline that is passed on, so that the receiver's truthful
 # verdict arrives before this node gives up.
 DEADLINE_MARGIN_MS = 10
+_MAX_REROUTES = 4
+_REROUTE_DELAY_S = 0.05
 
 ResultCallback = Callable[[CallResult], None]
 
@@ -49,6 +51,7 @@
         "_on_result",
         "_path",
         "_request",
+        "_reroutes",
         "_retries",
         "_router",
         "_sent_s",
@@ -110,6 +113,7 @@
         self._crashes = 0
         self._excluded: tuple[str, ...] = ()
         self._may_have_run = False
+        self._reroutes = 0
         self._is_done = False
 
     def start(self) -> None:
@@ -235,9 +239,10 @@
         assert reason is not None
         if not reason.is_not_run:
             self._may_have_run = True
-        if self._key is not None and reason in (
-            RefusalReason.KEY_NOT_OWNED,
-            RefusalReason.DRAINING,
+        is_owner_leaving = reason is RefusalReason.DRAINING
+        if self._key is not None and (
+            reason is RefusalReason.KEY_NOT_OWNED
+            or (is_owner_leaving and self._reroutes < _MAX_REROUTES)
         ):
             self._route_key_again()
         else:
@@ -270,13 +275,28 @@
         if self._may_have_run:
             self._finish(CallResult.refused(RefusalReason.KEY_UNKNOWN))
             return
-        route = self._router.keys.not_taken(
-            self._kind.service, self._key, forward
+        router = self._router
+        left_s = self.deadline_s - router.clock.monotonic()
+        delay_s = _REROUTE_DELAY_S * self._reroutes
+        if self._reroutes < _MAX_REROUTES and delay_s < left_s / 2:
+            # Not a retry: no owner has run anything. A slot that is being
+            # handed over has no owner for the time of a platform write.
+            self._reroutes += 1
+            router.metrics.key_redirects.inc()
+            refresh = KeyRefresh(forward.pristine)
+            router.timers.after(
+                delay_s, lambda: self._follow(refresh, is_retry=False)
+            )
+            return
+        route = router.keys.not_taken(
+            self._kind.service, self._key, self._refreshed(forward)
         )
-        # Not a retry: the first owner ran nothing, and the router allows one
-        # refreshed route for each send.
         self._follow(route, is_retry=False)
 
+    @staticmethod
+    def _refreshed(forward: KeyForward) -> KeyForward:
+        return KeyForward(forward.owner, forward.pristine, refreshed=True)
+
     def _retry_or_finish(
         self, reason: RefusalReason, result: CallResult
     ) -> None:
--- a/packages/node/radishtray_node/_slot_service.py
+++ b/packages/node/radishtray_node/_slot_service.py
@@ -25,6 +25,9 @@
 
 _LOG = logging.getLogger(__name__)
 _ACK_TIMEOUT_S = 5.0
+# Nodes that start together first learn of one another; the first of them would
+# else claim every slot, and giving slots back takes two minutes.
+_FIRST_CLAIM_DELAY_S = 2.0
 
 SendFrame = Callable[[str, wire.Frame], bool]
 """Sends a control frame to a node id; False if it has no known address."""
@@ -111,13 +114,27 @@
             push_table=self._push_table,
             on_table=lambda version, table: self._use(service, version, table),
         )
-        self._driver.start()
+        self._reactor.callLater(_FIRST_CLAIM_DELAY_S, self._driver.start)
+
+    @property
+    def owned_count(self) -> int:
+        """Slots that this process owns for keys issued now."""
+        if self._driver is None:
+            return 0
+        return self._driver.table.owned_now(
+            self._owner.me, self._clock.wall_ms()
+        )
 
     def members_changed(self, service: str) -> None:
         """Lets the driver balance slots over the present members."""
         if self._driver is not None and service == self.service:
             self._driver.members_changed()
 
+    def refresh(self) -> None:
+        """Reads the table soon, because a sender may know a newer one."""
+        if self._driver is not None:
+            self._driver.refresh()
+
     def proven_dead(self, service: str, owner: SlotOwner) -> None:
         """Notes that a newer process answers in place of an owner."""
         if self._driver is not None and service == self.service:
--- a/packages/node/radishtray_node/_upstream_server.py
+++ b/packages/node/radishtray_node/_upstream_server.py
@@ -1,5 +1,7 @@
 """Serves calls on this node's upstream."""
 
+from collections.abc import Callable
+
 from radishtray_node._call_result import CallResult
 from radishtray_node._incoming_call import DoneCallback, IncomingCall
 from radishtray_node._local_upstream import LocalUpstream
@@ -23,6 +25,7 @@
         metrics: Counters of this node.
         queue_timer: Time from arrival to the upstream.
         service_timer: Time at the upstream.
+        on_key_not_owned: Called when a key arrived that is not owned here.
         is_draining: Whether new work is refused.
     """
 
@@ -34,6 +37,7 @@
         "is_draining",
         "key_owner",
         "metrics",
+        "on_key_not_owned",
         "queue_timer",
         "running",
         "running_calls",
@@ -50,8 +54,21 @@
         key_owner: KeyOwner[CallResult],
         running: RunningRequests,
         metrics: Metrics,
+        on_key_not_owned: Callable[[], None],
     ) -> None:
-        """Starts without calls."""
+        """Starts without calls.
+
+        Args:
+            clock: Time source.
+            timers: Timers of deadlines.
+            upstream: The upstream beside this node.
+            key_owner: At-most-once records.
+            running: Requests that the upstream is running, by handle.
+            metrics: Counters of this node.
+            on_key_not_owned: Called when a key of a slot arrived that this
+                node does not know to own.
+        """
+        self.on_key_not_owned = on_key_not_owned
         self.clock = clock
         self.timers = timers
         self.upstream = upstream
--- a/packages/state/radishtray_state/_key_slots.py
+++ b/packages/state/radishtray_state/_key_slots.py
@@ -26,8 +26,12 @@
 REPLACEMENT_MARGIN_MS: Final = MAX_AHEAD_MS + 2 * CLOCK_ERROR_MS
 """Distance from the replacer's clock to the replacement's first issue time."""
 
-REBALANCE_LEAD_MS: Final = 120_000
-"""Distance to a voluntary boundary; two table polls of the new owner."""
+REBALANCE_LEAD_MS: Final = 10_000
+"""Distance to a voluntary boundary; the new owner is told by a push.
+
+If the push is lost, the first key that the new owner has to refuse makes it
+read the table.
+"""
 
 RETENTION_MS: Final = 3_600_000
 """How long an ended interval stays listed, so that resends find its owner."""
@@ -136,6 +140,11 @@
             1 for slot in self._slots if slot and slot[-1].owner == owner
         )
 
+    def owned_now(self, owner: SlotOwner, now_ms: int) -> int:
+        """Returns in how many slots the owner's interval contains a time."""
+        found = (self.interval_of(slot, now_ms) for slot in range(SLOT_COUNT))
+        return sum(1 for i in found if i is not None and i.owner == owner)
+
     def __eq__(self, other: object) -> bool:
         """Compares all intervals."""
         return isinstance(other, SlotTable) and self._slots == other._slots
--- a/packages/testing/radishtray_testing/demo.py
+++ b/packages/testing/radishtray_testing/demo.py
@@ -19,7 +19,11 @@
 from twisted.internet.task import deferLater
 
 from radishtray_state import RequestKey, SystemClock
-from radishtray_testing.processes import LOOPBACK, LocalDeployment
+from radishtray_testing.processes import (
+    LOOPBACK,
+    LocalDeployment,
+    NodeProcess,
+)
 from radishtray_transport import HttpAnswer, HttpClient, RequestFailure
 
 _EXAMPLE = "examples/pasaporte-gremlin.yaml"
@@ -32,9 +36,8 @@
     "catalogo": {"eventos": {"ms": 2, "calls": []}},
 }
 _SLOTS = {"taquilla": 60, "gafete": 60, "catalogo": 40}
-_DRAINED = "gafete-2"
 _CALLERS = 8
-_ROUNDS = 30
+_ROUNDS = 60
 _DRAIN_AFTER_S = 0.5
 _RETRIES_OF_CALLER = 20
 _PAUSE_S = 0.05
@@ -144,10 +147,19 @@
             index += 1
 
 
+def _busiest_owner(deployment: LocalDeployment, service: str) -> NodeProcess:
+    """Returns the node of a service that owns the most key slots."""
+    nodes = [n for i, n in deployment.nodes.items() if i.startswith(service)]
+    return max(nodes, key=lambda node: int(node.status()["key_slots_owned"]))
+
+
 async def _drive(
-    reactor: Any, deployment: LocalDeployment, outcomes: _Outcomes
+    reactor: Any,
+    deployment: LocalDeployment,
+    outcomes: _Outcomes,
+    drained: NodeProcess,
 ) -> None:
-    entries = [n for i, n in deployment.nodes.items() if i != _DRAINED]
+    entries = [n for n in deployment.nodes.values() if n is not drained]
     callers = [
         _Caller(
             reactor,
@@ -160,7 +172,7 @@
     draining = deferLater(
         reactor,
         _DRAIN_AFTER_S,
-        lambda: deployment.nodes[_DRAINED].operator("POST", "/drain"),
+        lambda: drained.operator("POST", "/drain"),
     )
     running = [Deferred.fromCoroutine(c.run(_ROUNDS)) for c in callers]
     await gatherResults([draining, *running])
@@ -194,6 +206,7 @@
                     "radishtray_refusals_total",
                     "radishtray_retries_total",
                     "radishtray_attempts_total",
+                    "radishtray_key_redirects_total",
                 )
             ):
                 found[name] += int(float(value))
@@ -245,8 +258,10 @@
         if code:
             return
         deployment.wait_until_ready(1, len(deployment.nodes))
-        await _drive(reactor, deployment, outcomes)
-        exit_code = deployment.nodes[_DRAINED].wait()
+        deployment.wait_until_slots_are_owned(len(_PLANS))
+        drained = _busiest_owner(deployment, "gafete")
+        await _drive(reactor, deployment, outcomes, drained)
+        exit_code = drained.wait()
         results.append(
             _report(
                 outcomes,
--- a/packages/testing/radishtray_testing/processes.py
+++ b/packages/testing/radishtray_testing/processes.py
@@ -11,6 +11,8 @@
 from pathlib import Path
 from typing import Any
 
+from radishtray_state import SLOT_COUNT
+
 _READY_TIMEOUT_S = 30.0
 _STOP_TIMEOUT_S = 40.0
 LOOPBACK = "127.0.0.1"
@@ -260,6 +262,22 @@
             time.sleep(0.1)
         raise TimeoutError(f"nodes are not ready: {states}")
 
+    def wait_until_slots_are_owned(self, services: int) -> None:
+        """Waits until all key slots of a number of services have owners.
+
+        Raises:
+            TimeoutError: If that takes longer than the ready timeout.
+        """
+        deadline = time.monotonic() + _READY_TIMEOUT_S
+        owned = 0
+        while time.monotonic() < deadline:
+            states = [node.status() for node in self.nodes.values()]
+            owned = sum(state["key_slots_owned"] for state in states)
+            if owned >= services * SLOT_COUNT:
+                return
+            time.sleep(0.1)
+        raise TimeoutError(f"only {owned} key slots have owners")
+
     def close(self) -> None:
         """Ends all processes."""
         for process in (
