Ask several nodes with radishtrayctl status and fail on unknown outcomes

Cause: a morning check had to call status once for each node, and the exit code was 0 even when the node listed unknown outcomes.

The earlier test expected exit code 0 for a node with an unknown outcome and the status at the top level of the JSON object. Both change by intent; the test now checks the new codes, the findings and the entry of each node.

Ruled out: stopping at the first unreachable node, which would hide the findings of the others.

--- a/packages/ctl/radishtray_ctl/_arguments.py
+++ b/packages/ctl/radishtray_ctl/_arguments.py
@@ -3,7 +3,7 @@
 import argparse
 import getpass
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from radishtray_ctl._errors import CommandError, ExitCode
 from radishtray_transport.platform_client import parse_base_url
@@ -12,10 +12,22 @@
 _MAX_AUTHOR_CHARS: Final = 200
 
 
+class NodeAddress(NamedTuple):
+    """Where the operators' listener of a node is."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Returns the text of the setting."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
 class Setting:
     """A setting that comes from a flag or an environment variable."""
 
-    __slots__ = ("default", "help", "name", "parse")
+    __slots__ = ("default", "help", "is_repeatable", "name", "parse")
 
     def __init__(
         self,
@@ -23,6 +35,8 @@
         parse: Callable[[str], Any],
         default: str | None,
         help_text: str,
+        *,
+        is_repeatable: bool = False,
     ) -> None:
         """Describes the setting.
 
@@ -31,11 +45,14 @@
             parse: Turns the text into a value or raises ValueError.
             default: Text if the setting is absent; None if it is required.
             help_text: What it is, with its unit.
+            is_repeatable: Whether the flag may occur several times; `parse`
+                then gets the texts joined by commas.
         """
         self.name = name
         self.parse = parse
         self.default = default
         self.help = help_text
+        self.is_repeatable = is_repeatable
 
     @property
     def flag(self) -> str:
@@ -48,8 +65,12 @@
         return _ENVIRONMENT_PREFIX + self.name.upper()
 
 
+def _split(text: str) -> tuple[str, ...]:
+    return tuple(part.strip() for part in text.split(",") if part.strip())
+
+
 def _base_urls(text: str) -> tuple[str, ...]:
-    urls = tuple(url.strip() for url in text.split(",") if url.strip())
+    urls = _split(text)
     if not urls:
         raise ValueError("expected at least one URL")
     for url in urls:
@@ -77,11 +98,18 @@
     return text
 
 
-def _node(text: str) -> tuple[str, int]:
+def _node(text: str) -> NodeAddress:
     host, _, port = text.rpartition(":")
-    if not host or not 0 < int(port) < 65536:
-        raise ValueError("expected host:port")
-    return host.strip("[]"), int(port)
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"expected HOST:PORT, found {text!r}")
+    return NodeAddress(host.strip("[]"), int(port))
+
+
+def _nodes(text: str) -> tuple[NodeAddress, ...]:
+    nodes = tuple(dict.fromkeys(_node(part) for part in _split(text)))
+    if not nodes:
+        raise ValueError("expected at least one HOST:PORT")
+    return nodes
 
 
 _TIMEOUT = Setting("timeout_s", _seconds, "5", "longest wait for one answer, s")
@@ -99,9 +127,24 @@
 AUTHOR_SETTINGS: Final = (
     Setting("author", _author, "", "name for the history; default: login name"),
 )
+_OPERATOR_TOKEN = Setting(
+    "operator_token", _token, "", "bearer token of the operators' API"
+)
 NODE_SETTINGS: Final = (
     Setting("node", _node, None, "HOST:PORT of the node's operators' listener"),
-    Setting("operator_token", _token, "", "bearer token of the operators' API"),
+    _OPERATOR_TOKEN,
+    _TIMEOUT,
+)
+NODES_SETTINGS: Final = (
+    Setting(
+        "node",
+        _nodes,
+        None,
+        "HOST:PORT of a node's operators' listener; may be repeated, and a"
+        " comma separates several",
+        is_repeatable=True,
+    ),
+    _OPERATOR_TOKEN,
     _TIMEOUT,
 )
 
@@ -121,17 +164,11 @@
     Raises:
         CommandError: With one line for each fault.
     """
-    faults = []
+    faults: list[str] = []
     for setting in settings:
-        place, text = setting.flag, getattr(options, setting.name)
-        if text is None and setting.variable in environment:
-            place, text = setting.variable, environment[setting.variable]
-        if text is None:
-            text = setting.default
+        place, text = _find_text(setting, options, environment)
         if text is None:
-            faults.append(
-                f"{setting.flag}: is required (or {setting.variable})"
-            )
+            faults.append(f"{place}: is required (or {setting.variable})")
             continue
         try:
             setattr(options, setting.name, setting.parse(text))
@@ -141,6 +178,20 @@
         raise CommandError(ExitCode.USAGE, "usage", "; ".join(faults))
 
 
+def _find_text(
+    setting: Setting,
+    options: argparse.Namespace,
+    environment: Mapping[str, str],
+) -> tuple[str, str | None]:
+    """Returns the place that holds a setting's text, and the text."""
+    given = getattr(options, setting.name)
+    if isinstance(given, list):
+        return setting.flag, ",".join(given)
+    if given is None and setting.variable in environment:
+        return setting.variable, environment[setting.variable]
+    return setting.flag, setting.default if given is None else given
+
+
 class Command:
     """One command and what its parser needs."""
 
@@ -230,6 +281,7 @@
             setting.flag,
             dest=setting.name,
             metavar="TEXT",
+            action="append" if setting.is_repeatable else "store",
             help=f"{setting.help}{default} [{setting.variable}]",
         )
     parser.add_argument(
--- a/packages/ctl/radishtray_ctl/_errors.py
+++ b/packages/ctl/radishtray_ctl/_errors.py
@@ -12,7 +12,8 @@
 
     OK = 0
     REFUSED = 1
-    """The document has findings, or the change was refused."""
+    """The document has findings, the change or call was refused, or a node
+    has unknown outcomes."""
 
     USAGE = 2
     """The command line, a setting or a file is faulty."""
--- a/packages/ctl/radishtray_ctl/_report.py
+++ b/packages/ctl/radishtray_ctl/_report.py
@@ -4,31 +4,38 @@
 from collections.abc import Iterable
 from typing import Any, TextIO
 
-from radishtray_ctl._errors import CommandError
+from radishtray_ctl._errors import CommandError, ExitCode
 
 
 class Report:
     """The result of a command."""
 
-    __slots__ = ("lines", "values")
+    __slots__ = ("exit_code", "lines", "values")
 
     def __init__(
-        self, lines: Iterable[str], values: dict[str, Any] | None = None
+        self,
+        lines: Iterable[str],
+        values: dict[str, Any] | None = None,
+        exit_code: ExitCode = ExitCode.OK,
     ) -> None:
         """Holds both forms.
 
         Args:
             lines: Lines for people.
             values: JSON values for scripts.
+            exit_code: Exit code of the program; a command that looks at
+                several nodes reports all of them and then fails.
         """
         self.lines = list(lines)
         self.values = values or {}
+        self.exit_code = exit_code
 
 
 def print_report(report: Report, as_json: bool, output: TextIO) -> None:
     """Prints a result."""
     if as_json:
-        print(json.dumps({"ok": True, **report.values}), file=output)
+        is_ok = report.exit_code is ExitCode.OK
+        print(json.dumps({"ok": is_ok, **report.values}), file=output)
         return
     for line in report.lines:
         print(line, file=output)
--- a/packages/ctl/radishtray_ctl/main.py
+++ b/packages/ctl/radishtray_ctl/main.py
@@ -13,7 +13,7 @@
 from radishtray_ctl import _config_commands, _operator_commands
 from radishtray_ctl._arguments import build_parser, read_settings
 from radishtray_ctl._errors import CommandError, ExitCode
-from radishtray_ctl._report import print_error, print_report
+from radishtray_ctl._report import Report, print_error, print_report
 
 _COMMAND_MODULES = (_config_commands, _operator_commands)
 """Importing these modules registers their commands."""
@@ -62,6 +62,7 @@
     output = output or sys.stdout
     errors = errors or sys.stderr
     entry = options.command
+    report: Report
     try:
         read_settings(entry.settings, options, environment)
         if inspect.iscoroutinefunction(entry.run):
@@ -72,7 +73,7 @@
         print_error(error, options.json, output, errors)
         return error.exit_code
     print_report(report, options.json, output)
-    return ExitCode.OK
+    return report.exit_code
 
 
 if __name__ == "__main__":
--- a/packages/testing/radishtray_testing/tests/test_ctl.py
+++ b/packages/testing/radishtray_testing/tests/test_ctl.py
@@ -375,14 +375,23 @@
 
     async def test_operator_commands(self) -> None:
         self.address = self.listen(Operators())
-        code, shown = await self.ctl("status")
-        self.assertEqual((code, shown["unknown_outcomes"]), (0, [{"key": "k"}]))
+        quiet = self.listen(Operators(b'{"unknown_outcomes": []}'))
+        nodes = ("--node", self.address, "--node", quiet)
+        code, shown = await self.ctl("status", *nodes)
+        outcomes = [
+            node["status"]["unknown_outcomes"] for node in shown["nodes"]
+        ]
+        self.assertEqual((code, outcomes), (1, [[{"key": "k"}], []]))
+        self.assertEqual((shown["ok"], len(shown["findings"])), (False, 1))
+        code, shown = await self.ctl("status", "--node", quiet)
+        self.assertEqual((code, shown["ok"], shown["findings"]), (0, True, []))
         code, shown = await self.ctl("drain")
         self.assertEqual((code, shown["draining"]), (0, True))
         code, _ = await self.ctl("status", "--operator-token", "wrong")
         self.assertEqual(code, 1)
-        code, _ = await self.ctl("status", "--node", "127.0.0.1:1")
-        self.assertEqual(code, 3)
+        code, shown = await self.ctl("status", *nodes, "--node", "127.0.0.1:1")
+        self.assertEqual((code, len(shown["findings"])), (3, 2))
+        self.assertEqual(shown["nodes"][2]["error"], "unreachable")
 
 
 class Operators(Resource):
@@ -390,12 +399,18 @@
 
     isLeaf = True
 
+    def __init__(
+        self, status: bytes = b'{"unknown_outcomes": [{"key": "k"}]}'
+    ) -> None:
+        Resource.__init__(self)
+        self._status = status
+
     def render(self, request: Any) -> bytes:
         if request.getHeader("authorization") != "Bearer secret":
             request.setResponseCode(401)
             return b""
         shown = {
-            (b"GET", b"/status"): b'{"unknown_outcomes": [{"key": "k"}]}',
+            (b"GET", b"/status"): self._status,
             (b"POST", b"/drain"): b'{"draining": true}',
         }
         return shown[request.method, request.path]
@@ -420,6 +435,7 @@
         (["config", "show"], 2),
         (["config", "show", "--platform", "http://127.0.0.1:1"], 3),
         (["status", "--node", "127.0.0.1:1", "--operator-token", "é"], 2),
+        (["status", "--node", "127.0.0.1:1", "--node", "nowhere"], 2),
     ],
     ids=str,
 )
