Add the operators' pages with tables written from the code

Cause: operators had the design and cli.md only; no page said what a refusal reason, a counter or a setting means, or what to do when a part fails.

Change: docs/operators has seven pages. make reference writes the tables of settings.md and reasons.md between markers from the settings, reasons, retry rules and counters in the code; advice stands in _reference_texts. A test fails when a committed page differs, or when a reason, denial, counter, stage or rejection reason lacks its text. The README leads to each page.

Ruled out: describing gossip, early replacement of key owners and exchange of crash suspects, which the node does not do yet.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := state protocol transport coordination node ctl testing
 
-.PHONY: setup test demo format check types lock generate
+.PHONY: setup test demo format check types lock generate reference
 
 setup: $(STAMP)
 
@@ -36,6 +36,10 @@
 types: $(STAMP)
 	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p)/radishtray_$(p))
 
+# Writes the tables of docs/operators; a test compares them with the code.
+reference: $(STAMP)
+	$(BIN)/python -m radishtray_testing.reference
+
 # Needs the Thrift compiler; the result is committed.
 generate:
 	tools/generate_wire.sh
--- /dev/null
+++ b/packages/testing/radishtray_testing/_reference_texts.py
@@ -0,0 +1,114 @@
+"""Texts of the operators' reference tables, by the names in the code."""
+
+from typing import Final
+
+from radishtray_state import RefusalReason, RetryDenial
+
+
+class ReasonAdvice:
+    """What the two sides of a refusal do.
+
+    Attributes:
+        caller: What the caller does.
+        operator: What an operator does when the reason is frequent.
+    """
+
+    __slots__ = ("caller", "operator")
+
+    def __init__(self, caller: str, operator: str) -> None:
+        """Holds both texts."""
+        self.caller = caller
+        self.operator = operator
+
+
+_LATER = "Send again after a pause that grows."
+_RESEND = "Send again with the same key and `Radishtray-Send: resend`."
+_ASK = "Do not assume either outcome; ask the service, or resend a keyed request with its key."
+_FIX = "Correct the request; sending it again does not help."
+
+REASON_ADVICE: Final = {
+    RefusalReason.SHED: ReasonAdvice(_LATER, "Expected in overload; see [overload](overload.md). Add upstreams if it lasts."),
+    RefusalReason.QUEUE_FULL: ReasonAdvice(_LATER, "Look for a slow upstream: the stage `upstream` rises."),
+    RefusalReason.DEADLINE_EXPECTED: ReasonAdvice(_LATER, "Compare `deadline_ms` of the kind with the stage `upstream`; else as `shed`."),
+    RefusalReason.DEADLINE_QUEUED: ReasonAdvice(_LATER, "As `queue_full`."),
+    RefusalReason.DRAINING: ReasonAdvice("Send again at once, to another node.", "None during a planned stop. Otherwise find out who drained the node."),
+    RefusalReason.NO_UPSTREAM: ReasonAdvice(_LATER, "Check that upstreams of the service run and announce themselves; see [install](install.md)."),
+    RefusalReason.UPSTREAM_REFUSED: ReasonAdvice(_LATER, "Check the upstream process and the announced address."),
+    RefusalReason.NO_CONFIGURATION: ReasonAdvice(_LATER, "Check that the node reaches the platform and that a release exists: `radishtrayctl config history`."),
+    RefusalReason.UNKNOWN_SERVICE: ReasonAdvice(_FIX, "Check the section of the service: `radishtrayctl config show`."),
+    RefusalReason.UNKNOWN_KIND: ReasonAdvice(_FIX, "Compare the method and path with the kinds of the service."),
+    RefusalReason.BAD_REQUEST: ReasonAdvice(_FIX, "Find the caller; the path must be ASCII and start with a service."),
+    RefusalReason.TOO_LARGE: ReasonAdvice(_FIX, "No node sends this reason: the listeners answer 413 without one; see `body_too_large`."),
+    RefusalReason.TOO_DEEP: ReasonAdvice(_FIX, "Look for services that call each other in a circle; the limit is 32 calls."),
+    RefusalReason.CANCELLED_QUEUED: ReasonAdvice("None; the caller has disconnected.", "Many of them mean that callers wait less than `deadline_ms`."),
+    RefusalReason.CRASH_SUSPECT: ReasonAdvice("Do not send this content again for 60 s.", "Find the request content that ends upstream processes; see [failures](failures.md)."),
+    RefusalReason.NEVER_ARRIVED: ReasonAdvice(_LATER, "Check the network between nodes and `radishtray_node_connections_rejected_total`."),
+    RefusalReason.KEY_MISSING: ReasonAdvice(_FIX, "Tell the caller's team to send an `Idempotency-Key`."),
+    RefusalReason.KEY_INVALID: ReasonAdvice(_FIX, "As `key_missing`; other UUID versions are refused."),
+    RefusalReason.KEY_REUSED: ReasonAdvice("Use a fresh key for each different request.", "A fault of the caller: one key with two contents."),
+    RefusalReason.KEY_TOO_NEW: ReasonAdvice("Correct the clock, then send with a fresh key.", "Compare the clocks of the caller and of the node; the limit is 5 s."),
+    RefusalReason.KEY_NOT_OWNED: ReasonAdvice(_RESEND, "Brief while slots move. If it lasts, check the platform and `key_slots_owned`."),
+    RefusalReason.KEY_OWNER_SILENT: ReasonAdvice("Send again with the key in `Radishtray-Retry-Key`; without that header, later with a fresh key.", "A node that owns slots ended or cannot be reached; see [failures](failures.md)."),
+    RefusalReason.KEY_STORE_FULL: ReasonAdvice(_RESEND + " Pause first.", "More keys than 200,000 records or 32 MiB in 10 min: add upstreams of the service."),
+    RefusalReason.KEY_EXPIRED: ReasonAdvice("Ask the service what happened; a resend gets the same refusal.", "Callers resend later than the record is kept (10 min to 1 h)."),
+    RefusalReason.KEY_OWNER_GONE: ReasonAdvice("Ask the service what happened; a resend may get the same refusal.", "A node ended without a drain, or its records were not taken. Check each listed key at the service."),
+    RefusalReason.KEY_UNKNOWN: ReasonAdvice("Ask the service what happened; a resend gets the same refusal.", "Check each listed key at the service."),
+    RefusalReason.NODE_LOST: ReasonAdvice(_ASK, "Check the lost node and its VM; check each listed request at the service."),
+    RefusalReason.UPSTREAM_LOST: ReasonAdvice(_ASK, "Check why the upstream ended or closed the connection; check each listed request."),
+    RefusalReason.DEADLINE_RUNNING: ReasonAdvice(_ASK, "Compare `deadline_ms` with the stage `upstream`; check each listed request."),
+    RefusalReason.CANCELLED_RUNNING: ReasonAdvice("None; the caller has disconnected. It may resend a keyed request.", "Many of them mean that callers wait less than `deadline_ms`."),
+}  # fmt: skip
+
+DENIAL_TEXTS: Final = {
+    RetryDenial.FINAL: "The reason is never retried by the nodes.",
+    RetryDenial.NOT_IDEMPOTENT: "The attempt may have run, and the kind is not `idempotent`.",
+    RetryDenial.AT_MOST_ONCE: "The attempt may have run, and the kind is `at_most_once`.",
+    RetryDenial.CRASHES: "Two attempts of the call ended with a crash of their upstream.",
+    RetryDenial.DEADLINE: "The deadline would pass before another attempt could end.",
+    RetryDenial.BUDGET: "The request's `retry_budget` has no unit left.",
+    RetryDenial.THROTTLED: "The node has sent more than 100 retries beyond a tenth of its first attempts.",
+}  # fmt: skip
+
+# Label names of the counters stand here because a counter without a sample
+# does not export them.
+COUNTER_TEXTS: Final = {
+    "radishtray_requests_total": ("kind", "requests", "Classified requests on the caller listener."),
+    "radishtray_upstream_calls_total": ("-", "calls", "Calls that the upstream makes through its node."),
+    "radishtray_attempts_total": ("-", "attempts", "One for each request and each upstream's call that was sent on."),
+    "radishtray_retries_total": ("reason", "attempts", "Further attempts, by the reason of the failed one."),
+    "radishtray_retry_denials_total": ("reason", "attempts", "Failed attempts that were not followed by another one."),
+    "radishtray_key_redirects_total": ("-", "attempts", "Keyed calls sent to another owner of their slot; not a retry, since nothing ran."),
+    "radishtray_refusals_total": ("reason, outcome", "refusals", "Refusals that this node decided, for its upstream or for its callers."),
+    "radishtray_refusals_delivered_total": ("reason, outcome", "refusals", "Refusals that callers of this node received."),
+    "radishtray_rejected_input_total": ("listener, reason", "requests or connections", "Input that a TCP listener for HTTP rejected."),
+    "radishtray_node_connections_rejected_total": ("reason", "connections", "Connections between nodes that this node ended, and duplicate attempts on them."),
+}  # fmt: skip
+
+INPUT_REASON_TEXTS: Final = {
+    "body_too_large": "Answered 413; see `--max-body-bytes`.",
+    "malformed_request": "Answered 400; not HTTP/1.1, or the head exceeds `--max-head-bytes` or 100 headers.",
+    "slow_request": "Answered 408; the request did not arrive within `--request-time`.",
+    "too_many_connections": "The connection was closed at once; see `--max-connections`.",
+    "unauthorized": "Answered 401; the operators' listener got another token.",
+}  # fmt: skip
+
+CONNECTION_REASON_TEXTS: Final = {
+    "silent_connection": "No byte arrived for 1.5 s in spite of pings; the node reconnects.",
+    "fenced": "The sender opened a newer connection, which replaces this one. The usual follower of `silent_connection` at the other node.",
+    "duplicate_attempt": "An attempt arrived twice or out of turn and was ignored.",
+    "handshake_timeout": "The peer did not authenticate within 5 s; it may be paused or overloaded.",
+    "handshake_invalid": "The first frame was no valid greeting.",
+    "handshake_unauthenticated": "The peer has no key in common with this node; compare `--cluster-keys`.",
+    "too_many_connections": "The node listener holds its largest number of connections.",
+    "old_incarnation": "A newer process of the same node has connected. If it lasts, two processes use one `--node-id`.",
+    "old_epoch": "A newer connection of the same process exists.",
+    "too_many_senders": "The node's table of senders is full.",
+    "frame_malformed": "A frame cannot be read; look for nodes of different versions.",
+    "frame_oversized": "A frame exceeds the size limit.",
+}  # fmt: skip
+
+STAGE_TEXTS: Final = {
+    "entry": "At the entry node: from the whole request's arrival to the answer, with all attempts.",
+    "queue": "Beside the upstream: from the call's arrival to the moment it is sent to the upstream.",
+    "upstream": "At the upstream: from sending to its whole answer, or to the end of the run.",
+}  # fmt: skip
