Bound waits for silent nodes and list every unknown outcome

Cause: reading the request path. A link pinged every node twice a second, which at 300 links costs 72 KB/s of the 14 KB/s for control; an attempt waited up to 3 s for a connection that nothing answered; a re-announced upstream cut its running requests; a late heartbeat alone made an overloaded upstream vanish; unknown outcomes of sub-calls and of cancelled requests were not listed; a disconnected keyed request was counted down twice. Change: only links with outstanding attempts ping, idle links close after 60 s; attempts that no connection takes within 0.3 s are tried elsewhere; replaced clients close after their answers; a late heartbeat leads to a probe; each call reports its own unknown outcome. Ruled out: a longer silence bound; a false alarm only costs a reconnect, since the query settles the attempts.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -48,7 +48,7 @@
 
 _LOG = logging.getLogger(__name__)
 _EXPIRE_INTERVAL_S = 0.05
-_SILENCE_INTERVAL_S = 0.5
+_SILENCE_INTERVAL_S = 0.25
 _SECOND_S = 1.0
 _DRAIN_POLL_S = 0.05
 _LOOPBACK = "127.0.0.1"
@@ -165,6 +165,7 @@
             self.suspects,
             self.server,
             self.metrics,
+            self._unknown,
             self._link_to,
         )
         self._store = ObjectStore(
@@ -201,7 +202,7 @@
             idle_s=settings.idle_time,
             request_s=settings.request_time,
         )
-        self._entry = Entry(self.router, self._current, self._unknown)
+        self._entry = Entry(self.router, self._current)
         upstream_api = UpstreamApi(
             self.router, self._current, self.upstream, self._running
         )
--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -8,6 +8,7 @@
 from radishtray_node._metrics import Metrics
 from radishtray_node._peer_link import PeerLink, SendFailure, SentAttempt
 from radishtray_node._timers import TimerWheel
+from radishtray_node._unknown_outcomes import UnknownOutcomes
 from radishtray_node._upstream_server import UpstreamServer
 from radishtray_protocol import RequestKind, wire
 from radishtray_state import (
@@ -40,6 +41,7 @@
         keys: Routing of at-most-once keys.
         retry_policy: Decides about further attempts.
         metrics: Counters of this node.
+        unknown: Reports of unknown outcomes.
         generation: Generation of the configuration in force.
     """
 
@@ -62,6 +64,7 @@
         "retry_policy",
         "selector",
         "timers",
+        "unknown",
     )
 
     def __init__(
@@ -75,6 +78,7 @@
         suspects: CrashSuspects,
         server: UpstreamServer,
         metrics: Metrics,
+        unknown: UnknownOutcomes,
         link_factory: LinkFactory,
         retry_policy: RetryPolicy | None = None,
     ) -> None:
@@ -90,6 +94,7 @@
             suspects: Crash suspects known to this node.
             server: Serves calls that stay at this node.
             metrics: Counters of this node.
+            unknown: Receives reports of unknown outcomes.
             link_factory: Creates the link to a node.
             retry_policy: Decides about retries; the default policy if None.
         """
@@ -99,6 +104,7 @@
         self.selector = selector
         self.keys = keys
         self.metrics = metrics
+        self.unknown = unknown
         self.generation = 0
         self._throttle = RetryThrottle()
         self.retry_policy = retry_policy or RetryPolicy(rng, self._throttle)
--- a/packages/node/radishtray_node/_entry.py
+++ b/packages/node/radishtray_node/_entry.py
@@ -7,7 +7,6 @@
 from radishtray_node._outgoing_call import OutgoingCall
 from radishtray_node._request_parts import forwarded_headers, parse_target
 from radishtray_node._running_request import RunningRequest
-from radishtray_node._unknown_outcomes import UnknownOutcomes
 from radishtray_protocol import Document, RequestKind
 from radishtray_state import RefusalReason, RequestKey, fingerprint
 from radishtray_transport import HttpRequest
@@ -43,30 +42,14 @@
         reason = result.refusal
         if reason is not None:
             entry.router.metrics.delivered(reason)
-            self._note_unknown(reason)
         entry.timer.record(entry.router.clock.monotonic() - self._started_s)
         self._http.respond(result.status, result.headers, result.body)
 
-    def _note_unknown(self, reason: RefusalReason) -> None:
-        if reason.is_not_run or self._kind.idempotent:
-            return
-        self._entry.unknown.add(
-            self._request.request_id,
-            self._kind.qualified_name,
-            self._request.key,
-            reason,
-        )
-
     def _disconnected(self) -> None:
-        entry = self._entry
-        entry.active -= 1
+        """Cancels the calls, but lets a keyed run go on for a resend."""
         if not self._kind.at_most_once:
+            self._entry.active -= 1
             self._request.cancel_calls()
-            return
-        # A keyed run goes on, so that a resend gets its answer. Its result is
-        # dropped here.
-        reason = RefusalReason.CANCELLED_RUNNING
-        entry.router.metrics.delivered(reason)
 
 
 class Entry:
@@ -74,9 +57,9 @@
 
     Attributes:
         router: Sends the calls.
-        unknown: Reports of unknown outcomes.
         timer: Time from a request's arrival to its answer.
         active: Requests that have not been answered.
+        is_draining: Whether new requests are refused.
     """
 
     __slots__ = (
@@ -86,24 +69,20 @@
         "is_draining",
         "router",
         "timer",
-        "unknown",
     )
 
     def __init__(
         self,
         router: CallRouter,
         document: DocumentSource,
-        unknown: UnknownOutcomes,
     ) -> None:
         """Starts without requests.
 
         Args:
             router: Sends the calls.
             document: Source of the configuration in force.
-            unknown: Receives reports of unknown outcomes.
         """
         self.router = router
-        self.unknown = unknown
         self.timer = router.metrics.stage("entry")
         self.active = 0
         self.is_draining = False
--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -14,7 +14,8 @@
 from radishtray_transport import HttpClient
 
 _LOG = logging.getLogger(__name__)
-HEARTBEAT_TIMEOUT_S = 3.0
+HEARTBEAT_LATE_S = 3.0
+HEARTBEAT_LIMIT_S = 30.0
 _MAX_SLOTS = 100_000
 _MAX_COLD_START_S = 3600.0
 _PROBE_TIMEOUT_S = 1.0
@@ -222,13 +223,19 @@
         self._on_change()
 
     def check_heartbeat(self) -> None:
-        """Treats an upstream without heartbeats as gone."""
+        """Probes an upstream without heartbeats; call once a second.
+
+        An overloaded upstream may be late with its heartbeats, so it is gone
+        only once it accepts no connection or has been late for long.
+        """
         if self.announcement is None:
             return
         age_s = self._clock.monotonic() - self._heartbeat_s
-        if age_s > HEARTBEAT_TIMEOUT_S:
+        if age_s > HEARTBEAT_LIMIT_S:
             _LOG.warning("upstream heartbeat missing", extra={"age_s": age_s})
             self.leave()
+        elif age_s > HEARTBEAT_LATE_S:
+            self.probe(lambda _is_accepting: None)
 
     def probe(self, done: Callable[[bool], None]) -> None:
         """Finds out whether the upstream still accepts connections.
--- a/packages/node/radishtray_node/_outgoing_call.py
+++ b/packages/node/radishtray_node/_outgoing_call.py
@@ -42,6 +42,7 @@
         "_forward",
         "_grant",
         "_headers",
+        "_is_cancelled",
         "_is_done",
         "_key",
         "_kind",
@@ -98,7 +99,7 @@
         self._key = key
         self._first_send = first_send
         self.fingerprint = fingerprint
-        self._on_result: ResultCallback | None = on_result
+        self._on_result = on_result
         now_s = router.clock.monotonic()
         self.deadline_s = min(
             request.deadline_s, now_s + kind.deadline_ms / 1000
@@ -115,6 +116,7 @@
         self._may_have_run = False
         self._reroutes = 0
         self._is_done = False
+        self._is_cancelled = False
 
     def start(self) -> None:
         """Sends the first attempt."""
@@ -226,6 +228,8 @@
             reason=result.refusal,
         )
         if self._is_done:
+            if self._is_cancelled:
+                self._note_unknown(result)
             return
         if result.refusal is None:
             self._finish(result)
@@ -361,10 +365,22 @@
     def cancel(self) -> None:
         """Stops the call; its callback is not called."""
         if not self._is_done:
-            self._on_result = None
+            self._is_cancelled = True
             self._finish(CallResult.refused(RefusalReason.CANCELLED_RUNNING))
             self._stop_attempt()
 
+    def _note_unknown(self, result: CallResult) -> None:
+        """Lists the outcome for operators if an effect may be in doubt."""
+        reason = result.refusal
+        if reason is None or reason.is_not_run or self._kind.idempotent:
+            return
+        self._router.unknown.add(
+            self._request.request_id,
+            self._kind.qualified_name,
+            None if self._key is None else str(self._key),
+            reason,
+        )
+
     def _stop_attempt(self) -> None:
         attempt = self._attempt
         if attempt is not None and not attempt.is_settled:
@@ -377,7 +393,6 @@
         self._request.calls.discard(self)
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
-        callback = self._on_result
-        self._on_result = None
-        if callback is not None:
-            callback(result)
+        if not self._is_cancelled:
+            self._note_unknown(result)
+            self._on_result(result)
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -22,8 +22,13 @@
 )
 
 _LOG = logging.getLogger(__name__)
-PING_INTERVAL_S = 0.5
-SILENCE_S = 1.5
+PING_AFTER_S = 0.2
+SILENCE_S = 0.8
+# A link without attempts is closed, so that a node keeps connections only to
+# the nodes that it really calls.
+IDLE_S = 60.0
+# An attempt that no connection has taken by then is tried elsewhere.
+_CONNECT_PATIENCE_S = 0.3
 _RECONNECT_S = 0.2
 # Refused or failed connections in a row after which attempts that were handed
 # to an earlier connection are given up.
@@ -77,9 +82,9 @@
 class PeerLink:
     """Keeps one connection to a node and settles attempts over reconnects.
 
-    A connection without received bytes for `SILENCE_S` is aborted. The next
-    one has a higher epoch, which makes the receiver reject frames of the old
-    one, and asks for the attempts that were handed to it.
+    A connection that does not answer a ping within `SILENCE_S` is aborted.
+    The next one has a higher epoch, which makes the receiver reject frames of
+    the old one, and asks for the attempts that were handed to it.
     """
 
     __slots__ = (
@@ -88,10 +93,13 @@
         "_identity",
         "_is_closed",
         "_is_opening",
+        "_last_sent_s",
         "_on_control",
         "_on_rejected",
+        "_opening_since_s",
         "_outstanding",
         "_ping_sequence",
+        "_pinged_s",
         "_reactor",
         "_signer",
         "_timers",
@@ -136,6 +144,9 @@
         self._is_closed = False
         self._failures = 0
         self._ping_sequence = 0
+        self._pinged_s: float | None = None
+        self._last_sent_s = 0.0
+        self._opening_since_s = 0.0
 
     @property
     def outstanding(self) -> int:
@@ -152,12 +163,19 @@
         connection = self._connection
         if connection is not None and connection.is_ready:
             self._hand_over(connection, attempt)
-        elif len(self._waiting) >= _MAX_WAITING or self._is_closed:
+        elif self._is_closed or self._is_unreachable():
             self._fail(attempt, SendFailure.NOT_RUN)
         else:
             self._waiting.append(attempt)
             self._open()
 
+    def _is_unreachable(self) -> bool:
+        """Whether waiting for a connection has no prospect."""
+        if len(self._waiting) >= _MAX_WAITING:
+            return True
+        opening_s = self._reactor.seconds() - self._opening_since_s
+        return self._is_opening and opening_s > _CONNECT_PATIENCE_S
+
     def send_control(self, frame: wire.Frame) -> None:
         """Sends a frame that needs no settlement."""
         connection = self._connection
@@ -182,33 +200,55 @@
             self._outstanding.give_up(attempt.call.attempt_id)
 
     def check_silence(self) -> None:
-        """Pings, and aborts a silent connection; call twice a second."""
+        """Pings a quiet connection and aborts a silent one.
+
+        Call four times a second. Only attempts that wait for an answer cause
+        pings, so the cost follows the calls and not the number of links.
+        """
         connection = self._connection
         if connection is None or not connection.is_ready:
             return
-        silent_s = self._reactor.seconds() - connection.last_received_s
-        if silent_s > SILENCE_S:
-            self._on_rejected("silent_connection")
-            connection.abort()
-        elif silent_s >= PING_INTERVAL_S / 2:
+        now_s = self._reactor.seconds()
+        if not self._outstanding.outstanding:
+            if now_s - self._last_sent_s > IDLE_S:
+                connection.close()
+            return
+        quiet_s = now_s - max(connection.last_received_s, self._last_sent_s)
+        if self._pinged_s is not None and (
+            connection.last_received_s >= self._pinged_s
+        ):
+            self._pinged_s = None
+        if self._pinged_s is not None:
+            if now_s - self._pinged_s > SILENCE_S:
+                self._on_rejected("silent_connection")
+                connection.abort()
+        elif quiet_s >= PING_AFTER_S:
+            self._pinged_s = now_s
             self._ping_sequence += 1
             connection.ping(self._ping_sequence)
 
     def close(self) -> None:
         """Closes the connection; attempts not handed over fail as not run."""
         self._is_closed = True
+        self._fail_waiting()
+        if self._connection is not None:
+            self._connection.close()
+
+    def _fail_waiting(self) -> None:
+        """Fails what no connection has taken; nothing of it was sent."""
         waiting = self._waiting
         self._waiting = []
         for item in waiting:
             if isinstance(item, SentAttempt):
                 self._fail(item, SendFailure.NOT_RUN)
-        if self._connection is not None:
-            self._connection.close()
 
     def _open(self) -> None:
         if self._is_opening or self._is_closed:
             return
         self._is_opening = True
+        self._pinged_s = None
+        self._opening_since_s = self._reactor.seconds()
+        self._timers.after(_CONNECT_PATIENCE_S, self._fail_waiting)
         self._connection = open_node_connection(
             self._reactor,
             self.address,
@@ -227,6 +267,7 @@
             return
         attempt.call.attempt_id = attempt_id
         attempt.is_handed_over = True
+        self._last_sent_s = self._reactor.seconds()
         connection.send(wire.Frame(call=attempt.call))
 
     def connection_ready(self, connection: NodeConnection) -> None:
@@ -312,11 +353,7 @@
         self._is_opening = False
         self._connection = None
         self._failures += 1
-        waiting = self._waiting
-        self._waiting = []
-        for item in waiting:
-            if isinstance(item, SentAttempt):
-                self._fail(item, SendFailure.NOT_RUN)
+        self._fail_waiting()
         if not self._outstanding.outstanding:
             return
         if self._failures >= _GIVE_UP_FAILURES:
--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -412,10 +412,13 @@
         return pending
 
     def close(self) -> None:
-        """Closes all connections; waiting requests fail as not connected."""
+        """Closes each connection after its answer.
+
+        Requests that wait for a connection fail as not connected.
+        """
         self._is_closed = True
         self._fail_waiting()
-        for connection in list(self._connections):
+        for connection in list(self._idle):
             connection.transport.loseConnection()
 
     def _connect(self) -> None:
