Add the gossip socket and its datagram codec

Cause: membership needs authenticated datagrams over UDP. Change: GossipSocket signs and verifies each datagram with the cluster keys before it parses anything, and counts faults by kind. The digests of a repair travel in the field target of PUSH, so wire.thrift stays as it is. Ruled out: truncating messages that are too long; they are counted and lost.

--- a/packages/transport/radishtray_transport/__init__.py
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -1,5 +1,13 @@
 """Twisted sockets for HTTP, node connections, gossip and the platform."""
 
+from radishtray_transport._gossip_codec import (
+    MAX_DATAGRAM_BYTES,
+    DatagramFault,
+    decode_datagram,
+    decode_payload,
+    encode_datagram,
+)
+from radishtray_transport._gossip_socket import GossipCounters, GossipSocket
 from radishtray_transport._http_client import (
     HeaderList,
     HttpAnswer,
@@ -35,8 +43,12 @@
 
 __all__ = [
     "ABSENT_VERSION",
+    "MAX_DATAGRAM_BYTES",
     "Conflict",
     "ConnectionEvents",
+    "DatagramFault",
+    "GossipCounters",
+    "GossipSocket",
     "HeaderList",
     "HttpAnswer",
     "HttpClient",
@@ -57,5 +69,8 @@
     "RequestFailure",
     "Signer",
     "Unreachable",
+    "decode_datagram",
+    "decode_payload",
+    "encode_datagram",
     "open_node_connection",
 ]
--- /dev/null
+++ b/packages/transport/radishtray_transport/tests/test_gossip_socket.py
@@ -0,0 +1,212 @@
+"""Guards the gossip socket against forged, damaged and oversized datagrams."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet import reactor
+
+from radishtray_protocol import ClusterKeys, encode_struct, wire
+from radishtray_state import (
+    Datagram,
+    GossipKind,
+    GossipMessage,
+    ManualClock,
+    MemberRecord,
+    Membership,
+    MemberState,
+    SuspectNote,
+    ViewSummary,
+)
+from radishtray_testing import member_record
+from radishtray_transport import (
+    MAX_DATAGRAM_BYTES,
+    DatagramFault,
+    GossipSocket,
+    decode_datagram,
+    decode_payload,
+    encode_datagram,
+)
+
+KEYS = ClusterKeys.parse("k1:" + "01" * 32 + ",k2:" + "02" * 32).ok
+OTHER = ClusterKeys.parse("k1:" + "03" * 32).ok
+
+REPEATABLE = settings(deadline=None, derandomize=True, max_examples=200)
+NUMBERS = st.integers(0, 2**63 - 1)
+TEXTS = st.text(max_size=16)
+RECORDS = st.builds(
+    MemberRecord,
+    node_id=st.text(min_size=1, max_size=16),
+    incarnation=NUMBERS,
+    state=st.sampled_from(MemberState),
+    version=NUMBERS,
+    gossip_address=TEXTS,
+    node_address=TEXTS,
+    failure_domain=TEXTS,
+    service_name=TEXTS,
+    slots=st.integers(0, 2**31 - 1),
+    serving=st.booleans(),
+    draining=st.booleans(),
+)
+NOTES = st.builds(
+    SuspectNote,
+    fingerprint=st.integers(-(2**63), 2**63 - 1),
+    crashes=st.integers(0, 100),
+    ttl_ms=st.integers(0, 60_000),
+)
+SUMMARIES = st.builds(
+    ViewSummary,
+    prefix=st.text("0123456789abcdef", max_size=2),
+    digests=st.tuples(*[st.integers(0, 2**32 - 1)] * 16),
+    is_reply=st.booleans(),
+)
+MESSAGES = st.builds(
+    GossipMessage,
+    sender=st.text(min_size=1, max_size=16),
+    sequence=NUMBERS,
+    kind=st.sampled_from(
+        [GossipKind.PING, GossipKind.ACK, GossipKind.PING_REQUEST]
+    ),
+    target=st.none() | TEXTS,
+    updates=st.lists(RECORDS, max_size=3).map(tuple),
+    generation=NUMBERS,
+    suspects=st.lists(NOTES, max_size=3).map(tuple),
+)
+PING = GossipMessage("n", 1, GossipKind.PING, "t", (), 0, ())
+SIGNED = encode_datagram(PING, KEYS).ok
+
+
+@REPEATABLE
+@given(MESSAGES, SUMMARIES)
+def test_messages_survive_the_wire(
+    message: GossipMessage, summary: ViewSummary
+) -> None:
+    push = GossipMessage(
+        message.sender, 1, GossipKind.PUSH, None, (), 0, (), summary
+    )
+    for sent in (message, push):
+        assert decode_datagram(encode_datagram(sent, KEYS).ok, KEYS).ok == sent
+
+
+@REPEATABLE
+@given(st.binary(max_size=1500))
+def test_arbitrary_bytes_never_pass_or_raise(data: bytes) -> None:
+    assert decode_datagram(data, KEYS).is_error()
+    decode_payload(data)
+
+
+@REPEATABLE
+@given(MESSAGES, st.data())
+def test_damaged_datagrams_are_rejected(
+    message: GossipMessage, data: st.DataObject
+) -> None:
+    """A peer with the key may run damaged code; parsing must not raise."""
+    signed = bytearray(encode_datagram(message, KEYS).ok)
+    at = data.draw(st.integers(0, len(signed) - 1))
+    signed[at] ^= data.draw(st.integers(1, 255))
+    assert decode_datagram(bytes(signed), KEYS).is_error()
+    decode_payload(bytes(signed[36:]))
+
+
+def with_fields(**fields: object) -> bytes:
+    values = {
+        "sender": "n",
+        "sequence": 1,
+        "kind": 3,
+        "updates": [],
+        "generation": 0,
+        "suspects": [],
+    }
+    return encode_struct(wire.Gossip(**(values | fields)))
+
+
+MALFORMED = {
+    "empty": b"",
+    "unknown kind": with_fields(kind=9),
+    "no sender": with_fields(sender=""),
+    "negative generation": with_fields(generation=-1),
+    "summary without digests": with_fields(target="q::"),
+    "summary with a sign": with_fields(target="q::" + "-0000001" * 16),
+    "summary with a long prefix": with_fields(target="q:abc:" + "0" * 128),
+    "summary without flag": with_fields(target="x::" + "0" * 128),
+    "unknown member state": with_fields(
+        updates=[wire.Member("a", 1, 9, 1, "", "", "", "", 1, True, True)]
+    ),
+    "member with a long text": with_fields(
+        updates=[wire.Member("a" * 65, 1, 0, 1, "", "", "", "", 1, True, True)]
+    ),
+}
+
+
+@pytest.mark.parametrize("payload", MALFORMED.values(), ids=MALFORMED.keys())
+def test_malformed_payload_is_reported(payload: bytes) -> None:
+    assert decode_payload(payload).error is DatagramFault.MALFORMED
+
+
+DROPPED = {
+    "forged": (encode_datagram(PING, OTHER).ok, DatagramFault.BAD_TAG),
+    "truncated": (SIGNED[:20], DatagramFault.BAD_ENVELOPE),
+    "oversized": (
+        b"\1" * (MAX_DATAGRAM_BYTES + 1),
+        DatagramFault.OVERSIZED,
+    ),
+}
+
+
+@pytest.mark.parametrize("case", DROPPED.values(), ids=DROPPED.keys())
+def test_socket_counts_and_drops(case: tuple[bytes, DatagramFault]) -> None:
+    data, fault = case
+    received: list[GossipMessage] = []
+    socket = GossipSocket(KEYS, lambda m, _: received.append(m) or ())
+    socket.datagramReceived(data, ("10.0.0.1", 1))
+    assert received == []
+    assert socket.counters.dropped[fault] == 1
+
+
+def test_full_messages_fit_into_a_datagram() -> None:
+    """Record sizes are computed without encoding; they must not be low."""
+    clock = ManualClock()
+    node = Membership(member_record(0), clock, random.Random(1))
+    node.set_suspects(SuspectNote(i, 1, 60_000) for i in range(9))
+    peers = [member_record(i, service="té" * 20) for i in range(1, 200)]
+    full = GossipMessage("p", 1, GossipKind.PUSH, None, tuple(peers), 0, ())
+    node.receive(full, "10.0.0.9:1")
+    largest = 0
+    for _ in range(40):
+        clock.advance(1.0)
+        empty = ViewSummary("", (0,) * 16, is_reply=False)
+        query = GossipMessage("p", 1, GossipKind.PUSH, None, (), 0, (), empty)
+        sent = node.tick(clock.monotonic()) + node.receive(query, "10.0.0.9:1")
+        for datagram in sent:
+            size = len(encode_datagram(datagram.message, KEYS).ok)
+            largest = max(largest, size)
+    assert MAX_DATAGRAM_BYTES - 250 < largest <= MAX_DATAGRAM_BYTES
+
+
+def test_unsendable_datagrams_are_counted_and_do_not_raise() -> None:
+    socket = GossipSocket(KEYS, lambda _m, _s: ())
+    socket.send([Datagram("10.0.0.1:1", PING)])
+    assert socket.counters.send_errors == 1
+    records = tuple(member_record(i) for i in range(20))
+    big = GossipMessage("n", 1, GossipKind.PUSH, None, records, 0, ())
+    socket.send([Datagram("10.0.0.1:1", big)])
+    assert socket.counters.unsendable == 1
+
+
+def test_sockets_exchange_datagrams_on_loopback() -> None:
+    received: list[tuple[GossipMessage, str]] = []
+    sender = GossipSocket(KEYS, lambda _m, _s: ())
+    receiver = GossipSocket(KEYS, lambda m, s: received.append((m, s)) or ())
+    for socket in (sender, receiver):
+        socket.start(reactor, "127.0.0.1", 0)
+    try:
+        sender.send([Datagram(receiver.address, PING)])
+        receiver.transport.doRead()
+        assert received == [(PING, sender.address)]
+        assert sender.counters.sent_bytes == receiver.counters.received_bytes
+    finally:
+        for socket in (sender, receiver):
+            socket.close()
+    with pytest.raises(RuntimeError):
+        _ = sender.address
