Free a connection to the upstream only when nothing follows the answer

Cause: the client gave a connection its next request before it had looked at the bytes behind the answer. A request was then never settled (one byte behind an answer) or got the answer of another (two answers in one read, or the body of a HEAD answer). A negative length never ended; of two lengths the last won; a length of an interim answer applied to the final one; the end of a chunk was not checked. Change: an answer is reported and its connection freed at the end of a read; a connection with further bytes is aborted. Lengths, chunk sizes, chunk ends and the version are checked. Ruled out: a fault of the test's network; the cases come from one write of the upstream, which a socket delivers in one read as well. Bytes that arrive after the next request was sent cannot be told from its answer in HTTP/1.1.

--- a/packages/testing/radishtray_testing/memory_network.py
+++ b/packages/testing/radishtray_testing/memory_network.py
@@ -129,6 +129,7 @@
         if self.connected and self._peer is not None:
             self._carry(self._peer.peer_closed)
             self.connected = False
+            self.disconnecting = True
             self._network.callLater(0, self._report_lost)
 
     def _lost(self) -> None:
--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -29,6 +29,8 @@
         b"upgrade",
     )
 )
+_VERSIONS = frozenset((b"HTTP/1.1", b"HTTP/1.0"))
+_HEX_DIGITS = b"0123456789abcdefABCDEF"
 _BODILESS_STATUSES = frozenset((204, 304))
 DEFAULT_MAX_BODY_BYTES = 2 * 1024 * 1024
 
@@ -163,8 +165,11 @@
         self._received_bytes = 0
         self._is_chunked = False
         self._in_chunks = False
+        self._is_chunk_end = False
         self._is_last_chunk = False
         self._keep_alive = True
+        self._is_whole = False
+        self._has_rest = False
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -183,10 +188,22 @@
         self._pending = None
         self.transport.abortConnection()
 
-    def lineReceived(self, line: bytes) -> None:
+    def dataReceived(self, data: bytes) -> None:
         if self._pending is None:
             # Bytes that belong to no request: the connection is unusable.
             self.abandon()
+            return
+        HTTPClient.dataReceived(self, data)
+        # Only now is it known whether bytes follow the answer. A connection
+        # that was reused before would take them for the next answer.
+        if self._is_whole:
+            self._release()
+
+    def lineReceived(self, line: bytes) -> None:
+        if self._pending is None:
+            return
+        if self._is_whole:
+            self._has_rest = True
         elif self._in_chunks:
             self._chunk_line(line)
         else:
@@ -198,6 +215,8 @@
     def handleStatus(
         self, version: bytes, status: bytes, message: bytes
     ) -> None:
+        if version not in _VERSIONS:
+            raise ValueError(f"unknown protocol version {version!r}")
         self._status = int(status)
         self._keep_alive = version == b"HTTP/1.1"
 
@@ -210,12 +229,18 @@
             self._keep_alive = b"close" not in val.lower()
         elif name == b"transfer-encoding":
             self._is_chunked = b"chunked" in val.lower()
+        elif name == b"content-length":
+            self._check_length(val.strip())
+
+    def _check_length(self, value: bytes) -> None:
+        """Raises ValueError unless there is one length without a sign."""
+        if not value.isdigit() or self.length not in (None, int(value)):
+            raise ValueError(f"unusable content length {value!r}")
 
     def handleEndHeaders(self) -> None:
         if 100 <= self._status < 200:
-            self.firstLine = True
-            self._header = b""
-            self._headers = []
+            # Nothing of an interim answer applies to the final one.
+            self._reset()
 
     def setRawMode(self) -> None:
         """Chooses the body's framing; called after the headers."""
@@ -242,17 +267,20 @@
             if not line:
                 self._complete()
             return
-        if not line:
+        if self._is_chunk_end:
+            self._is_chunk_end = False
+            if line:
+                self._invalid()
             return
-        try:
-            size = int(line.split(b";", 1)[0], 16)
-        except ValueError:
+        digits = line.split(b";", 1)[0].strip()
+        if not digits or digits.strip(_HEX_DIGITS):
             self._invalid()
             return
+        size = int(digits, 16)
         if size == 0:
             self._is_last_chunk = True
             return
-        if size < 0 or self._received_bytes + size > self._max_body_bytes:
+        if self._received_bytes + size > self._max_body_bytes:
             self._invalid()
             return
         self.length = size
@@ -267,21 +295,26 @@
         if self.length:
             return
         if self._in_chunks:
+            self._is_chunk_end = True
             self.setLineMode(rest)
         else:
             self._complete()
-            if rest:
-                self.abandon()
-            else:
-                self.line_mode = 1
+            self._has_rest = bool(rest)
+            self.line_mode = 1
 
     def _complete(self) -> None:
+        self._is_whole = True
+        self._in_chunks = False
+
+    def _release(self) -> None:
+        """Reports the answer and frees the connection if it is reusable."""
         pending = self._pending
         self._pending = None
-        self._in_chunks = False
+        rest = self.clearLineBuffer()
         answer = HttpAnswer(self._status, self._headers, b"".join(self._parts))
-        self.firstLine = True
-        if self._keep_alive:
+        if self._has_rest or rest:
+            self.abandon()
+        elif self._keep_alive:
             self._client.idle(self)
         else:
             self.transport.loseConnection()
@@ -295,7 +328,10 @@
             pending.fail(RequestFailure.INVALID_ANSWER)
 
     def lineLengthExceeded(self, line: bytes) -> None:
-        self._invalid()
+        if self._is_whole:
+            self._has_rest = True
+        else:
+            self._invalid()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self._client.disconnected(self)
