Run every due timer after the loop was busy

Cause: a timer started by a callback of the wheel set the next tick to now, although buckets before it were still due. Their timers (deadlines, retries) never ran, and the wheel turned for ever. Change: the next tick is only set when the wheel is empty. Ruled out: the cancelled timer and the busy loop alone; both cases passed.

--- a/packages/node/radishtray_node/_timers.py
+++ b/packages/node/radishtray_node/_timers.py
@@ -57,8 +57,10 @@
         now_s = self._reactor.seconds()
         tick = int((now_s + delay_s) / TICK_S) + 1
         timer = Timer(callback)
-        if self._wake is None and not self._is_closed:
+        if not self._buckets:
+            # A callback may start a timer while later buckets are still due.
             self._next_tick = int(now_s / TICK_S)
+        if self._wake is None and not self._is_closed:
             self._wake = self._reactor.callLater(TICK_S, self._turn)
         tick = max(tick, self._next_tick)
         bucket = self._buckets.get(tick)
--- /dev/null
+++ b/packages/node/radishtray_node/tests/test_timers.py
@@ -0,0 +1,43 @@
+"""Guards against deadlines that are lost when the loop was busy."""
+
+import pytest
+
+from radishtray_node._timers import TimerWheel
+from radishtray_testing.memory_network import MemoryNetwork
+
+# Name: delays; those whose callback starts another timer of 0.5 s; how long
+# the loop is busy first.
+CASES = {
+    "in_time": ((0.05, 0.08, 0.3), (), 0.0),
+    "busy_loop": ((0.05, 0.08, 0.3), (), 0.2),
+    "timer_in_callback": ((0.05, 0.08, 0.3), (0.05,), 0.0),
+    "timer_in_callback_of_busy_loop": ((0.05, 0.08, 0.3), (0.05,), 0.2),
+    "at_once": ((0.0, -1.0), (0.0,), 0.0),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_every_timer_runs_once(name: str) -> None:
+    delays, starting, busy_s = CASES[name]
+    network = MemoryNetwork()
+    wheel = TimerWheel(network)
+    ran: list[float] = []
+
+    def run(delay_s: float) -> None:
+        ran.append(delay_s)
+        if delay_s in starting:
+            wheel.after(0.5, lambda: ran.append(0.5))
+
+    for delay in delays:
+        wheel.after(delay, lambda delay=delay: run(delay))
+    network.advance(busy_s)
+    network.run(2)
+    assert sorted(ran) == sorted([*delays, *(0.5 for _ in starting)])
+    assert not network.getDelayedCalls(), "an empty wheel must not turn"
+
+
+def test_a_cancelled_timer_does_not_run() -> None:
+    network = MemoryNetwork()
+    wheel = TimerWheel(network)
+    wheel.after(0.1, lambda: pytest.fail("ran")).cancel()
+    network.run(1)
