--- a/packages/testing/radishtray_testing/node_builders.py
+++ b/packages/testing/radishtray_testing/node_builders.py
@@ -210,9 +210,10 @@
             self.suspects,
             self.server,
             self.metrics,
+            self.unknown,
             self._link_to,
         )
-        self.entry = Entry(self.router, lambda: cluster.document, self.unknown)
+        self.entry = Entry(self.router, lambda: cluster.document)
         api = UpstreamApi(
             self.router, lambda: cluster.document, self.local, self.running
         )
