--- a/packages/testing/radishtray_testing/_upstream_work.py
+++ b/packages/testing/radishtray_testing/_upstream_work.py
@@ -21,6 +21,7 @@
 KEY_HEADER = "Idempotency-Key"
 RUN_ID_HEADER = "Test-Run-Id"
 """Set by the caller; shows which requests without a key were run."""
+REQUEST_ID_HEADER = "Radishtray-Request-Id"
 CRASH_EXIT_CODE = 70
 _JSON = ["Content-Type", "application/json"]
 
@@ -151,6 +152,8 @@
         counters: Events by name.
         effects: Begun runs by idempotency key; above 1 is a duplicate.
         runs: Begun runs by the caller's `Test-Run-Id`.
+        chains: Begun runs by request id of the chain and path; above 1 shows
+            retries.
         frozen: Steps that continue once the freeze ends.
     """
 
@@ -162,6 +165,7 @@
         "_silent",
         "_slots",
         "_waiting",
+        "chains",
         "counters",
         "effects",
         "faults",
@@ -197,6 +201,7 @@
         self.counters: Counter[str] = Counter()
         self.effects: Counter[str] = Counter()
         self.runs: Counter[str] = Counter()
+        self.chains: Counter[str] = Counter()
         self.frozen: list[Callable[[], None]] = []
         self._plan = plan
         self._slots = slots
@@ -257,11 +262,16 @@
     def _begin(self, job: _Job) -> None:
         self._running.add(job)
         self.counters["begun"] += 1
-        self._count(self.effects, job.http.header(KEY_HEADER.encode()))
-        self._count(self.runs, job.http.header(RUN_ID_HEADER.encode()))
+        self._count(self.effects, job.http, KEY_HEADER)
+        self._count(self.runs, job.http, RUN_ID_HEADER)
+        path = job.http.uri.decode("latin-1")
+        self._count(self.chains, job.http, REQUEST_ID_HEADER, f" {path}")
         job.run()
 
     @staticmethod
-    def _count(counts: Counter[str], name: bytes | None) -> None:
-        if name is not None:
-            counts[name.decode("latin-1")] += 1
+    def _count(
+        counts: Counter[str], http: HttpRequest, header: str, suffix: str = ""
+    ) -> None:
+        value = http.header(header.encode())
+        if value is not None:
+            counts[value.decode("latin-1") + suffix] += 1
--- a/packages/testing/radishtray_testing/upstream_standin.py
+++ b/packages/testing/radishtray_testing/upstream_standin.py
@@ -145,7 +145,11 @@
     def _handle_control(self, http: HttpRequest) -> None:
         worker = self.worker
         if http.uri == b"/effects":
-            shown: Any = {"effects": worker.effects, "runs": worker.runs}
+            shown: Any = {
+                "effects": worker.effects,
+                "runs": worker.runs,
+                "chains": worker.chains,
+            }
         elif http.uri == b"/counters":
             shown = {**worker.counters, **worker.load}
         elif http.uri == b"/faults" and http.method == b"PUT":
