--- a/packages/testing/radishtray_testing/_upstream_work.py
+++ b/packages/testing/radishtray_testing/_upstream_work.py
@@ -24,6 +24,15 @@
 REQUEST_ID_HEADER = "Radishtray-Request-Id"
 CRASH_EXIT_CODE = 70
 _JSON = ["Content-Type", "application/json"]
+_GAMMA_SHAPE = 4
+DISTRIBUTIONS: dict[str, Callable[[random.Random, float], float]] = {
+    "exponential": lambda rng, mean: rng.expovariate(1 / mean),
+    "fixed": lambda rng, mean: mean,
+    "gamma": lambda rng, mean: rng.gammavariate(
+        _GAMMA_SHAPE, mean / _GAMMA_SHAPE
+    ),
+}
+"""Draw of a time of work from its mean; gamma varies by half its mean."""
 
 
 class Faults:
@@ -158,7 +167,7 @@
     """
 
     __slots__ = (
-        "_is_fixed",
+        "_draw",
         "_plan",
         "_rng",
         "_running",
@@ -182,7 +191,7 @@
         plan: WorkPlan,
         slots: int,
         rng: random.Random,
-        is_fixed: bool = False,
+        distribution: str = "exponential",
     ) -> None:
         """Starts idle.
 
@@ -192,8 +201,7 @@
             plan: What to do for each kind.
             slots: Requests that run at the same time.
             rng: Randomness of the time of work.
-            is_fixed: Whether the time of work is always the mean; else it is
-                exponentially distributed.
+            distribution: Name of the distribution of the time of work.
         """
         self.reactor = reactor
         self.node = node
@@ -206,7 +214,7 @@
         self._plan = plan
         self._slots = slots
         self._rng = rng
-        self._is_fixed = is_fixed
+        self._draw = DISTRIBUTIONS[distribution]
         self._running: set[_Job] = set()
         self._waiting: deque[_Job] = deque()
         self._silent: WeakSet[Any] = WeakSet()
@@ -221,7 +229,9 @@
         marker = self.faults.crash_marker
         if marker and marker.encode() in http.body:
             os._exit(CRASH_EXIT_CODE)
-        job = _Job(self, http, self._plan.of(http.uri.decode("latin-1")))
+        method = http.method.decode("latin-1")
+        plan = self._plan.of(method, http.uri.decode("latin-1"))
+        job = _Job(self, http, plan)
         if len(self._running) < self._slots:
             self._begin(job)
         else:
@@ -241,9 +251,7 @@
     def work_time(self, plan: KindPlan) -> float:
         """Returns the seconds of work for one request."""
         mean_s = plan.service_s * self.faults.slow_factor
-        if self._is_fixed or not mean_s:
-            return mean_s
-        return self._rng.expovariate(1 / mean_s)
+        return self._draw(self._rng, mean_s) if mean_s else 0.0
 
     def is_silent(self, http: HttpRequest) -> bool:
         """Whether the connection of a request no longer answers."""
--- a/packages/testing/radishtray_testing/_work_plan.py
+++ b/packages/testing/radishtray_testing/_work_plan.py
@@ -1,6 +1,7 @@
 """What an upstream stand-in does for each kind of request."""
 
 import json
+import re
 from typing import Any
 
 
@@ -52,14 +53,17 @@
 
 
 class WorkPlan:
-    """The plans of all kinds; the kind is the first segment of the path.
+    """The plans of all kinds.
 
-    >>> plan = WorkPlan.parse('{"buy": {"ms": 5, "calls": []}}', 20.0)
-    >>> plan.of("/buy/7?seat=2").service_s, plan.of("/other").service_s
-    (0.005, 0.02)
+    A kind is given as the first segment of its path, or as its method and path
+    template; the second form wins.
+
+    >>> plan = WorkPlan.parse('{"buy": {"ms": 5}, "GET /a/{b}": {}}', 20.0)
+    >>> plan.of("POST", "/buy/7?seat=2").service_s
+    0.005
     """
 
-    __slots__ = ("_default", "_kinds")
+    __slots__ = ("_default", "_segments", "_templates")
 
     def __init__(self, kinds: dict[str, KindPlan], default: KindPlan) -> None:
         """Holds the plans.
@@ -68,8 +72,14 @@
             kinds: Plans by kind.
             default: Plan of every other kind.
         """
-        self._kinds = kinds
         self._default = default
+        self._segments = kinds
+        self._templates = [
+            (method, _pattern(path), plan)
+            for kind, plan in kinds.items()
+            for method, _, path in [kind.partition(" ")]
+            if path
+        ]
 
     @classmethod
     def parse(cls, text: str, default_ms: float) -> "WorkPlan":
@@ -91,10 +101,20 @@
         }
         return cls(kinds, KindPlan(default_ms / 1000, ()))
 
-    def of(self, path: str) -> KindPlan:
-        """Returns the plan for a request path."""
-        kind = path.partition("?")[0].strip("/").partition("/")[0]
-        return self._kinds.get(kind, self._default)
+    def of(self, method: str, target: str) -> KindPlan:
+        """Returns the plan for a request."""
+        path = target.partition("?")[0]
+        for known, pattern, plan in self._templates:
+            if known == method and pattern.fullmatch(path):
+                return plan
+        kind = path.strip("/").partition("/")[0]
+        return self._segments.get(kind, self._default)
+
+
+def _pattern(template: str) -> re.Pattern[str]:
+    """Compiles a path in which {name} stands for one segment."""
+    parts = re.split(r"\{\w+\}", template)
+    return re.compile("[^/]+".join(map(re.escape, parts)))
 
 
 def _parse_kind(name: str, value: Any, default_ms: float) -> KindPlan:
--- a/packages/testing/radishtray_testing/tests/test_upstream_standin.py
+++ b/packages/testing/radishtray_testing/tests/test_upstream_standin.py
@@ -11,7 +11,11 @@
 from radishtray_testing._work_plan import WorkPlan
 from radishtray_transport import HttpAnswer
 
-PLAN = '{"buy": {"ms": 100, "calls": ["POST /call/gafete/issue"]}}'
+PLAN = """{
+  "buy": {"ms": 100, "calls": ["POST /call/gafete/issue"]},
+  "POST /buy/{n}/fast": {"ms": 25},
+  "GET /buy/{n}": {"ms": 25}
+}"""
 
 
 class FakeHttp:
@@ -20,6 +24,7 @@
     def __init__(self, path: str, body: bytes, key: str | None) -> None:
         """Creates an unanswered request."""
         self.uri = path.encode()
+        self.method = b"POST"
         self.body = body
         self.key = key
         self.channel = self
@@ -57,7 +62,7 @@
             WorkPlan.parse(PLAN, 50.0),
             1,
             random.Random(1),
-            is_fixed=True,
+            distribution="fixed",
         )
 
     def send(self, path: str, key: str | None = None) -> FakeHttp:
@@ -66,6 +71,7 @@
         return http
 
 
+CALLING = ("calls", "refused_call")
 # Name, paths sent at once, status of sub-calls, seconds, statuses.
 CASES = [
     ("answers_after_its_time", ["/x"], 200, 0.05, [200]),
@@ -74,17 +80,18 @@
     ("takes_the_freed_slot", ["/x", "/x"], 200, 0.1, [200, 200]),
     ("calls", ["/buy/1?a=b"], 200, 0.1, [200]),
     ("refused_call", ["/buy"], 503, 0.1, [502]),
+    ("kind_by_method_and_path", ["/buy/1/fast"], 200, 0.025, [200]),
 ]
 
 
 @pytest.mark.parametrize("case", CASES, ids=[case[0] for case in CASES])
 def test_work(case: tuple[str, list[str], int, float, list[Any]]) -> None:
-    _, paths, call_status, seconds, statuses = case
+    name, paths, call_status, seconds, statuses = case
     bench = Bench(call_status)
     sent = [bench.send(path) for path in paths]
     bench.clock.pump([0.025] * round(seconds * 40))
     assert [http.status for http in sent] == statuses
-    assert bench.node.paths == ["/call/gafete/issue"] * ("buy" in paths[0])
+    assert bench.node.paths == ["/call/gafete/issue"] * (name in CALLING)
 
 
 def test_duplicates_show_in_the_effects() -> None:
--- a/packages/testing/radishtray_testing/upstream_standin.py
+++ b/packages/testing/radishtray_testing/upstream_standin.py
@@ -18,7 +18,11 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet.task import LoopingCall
 
-from radishtray_testing._upstream_work import Faults, UpstreamWorker
+from radishtray_testing._upstream_work import (
+    DISTRIBUTIONS,
+    Faults,
+    UpstreamWorker,
+)
 from radishtray_testing._work_plan import WorkPlan
 from radishtray_transport import (
     HttpClient,
@@ -65,7 +69,7 @@
             WorkPlan.parse(options.plan, options.service_ms),
             options.slots,
             random.Random(options.seed),
-            options.distribution == "fixed",
+            options.distribution,
         )
         limits = HttpLimits(connections=10_000, idle_s=3600.0)
         self._server = HttpServer(reactor, self._handle, limits)
@@ -176,7 +180,7 @@
     add("--service-ms", type=float, default=20.0, help="mean time of work")
     add(
         "--distribution",
-        choices=("exponential", "fixed"),
+        choices=sorted(DISTRIBUTIONS),
         default="exponential",
     )
     add("--plan", default="{}", help="JSON: kind to ms and calls")
