--- a/packages/testing/radishtray_testing/bench.py
+++ b/packages/testing/radishtray_testing/bench.py
@@ -57,9 +57,7 @@
     return 0
 
 
-def _measure(
-    options: argparse.Namespace, policy: str, seed: int
-) -> RunSummary:
+def _measure(options: argparse.Namespace, policy: str, seed: int) -> RunSummary:
     with tempfile.TemporaryDirectory() as directory:
         measured = run(
             RunOptions(
--- a/packages/testing/radishtray_testing/bench_run.py
+++ b/packages/testing/radishtray_testing/bench_run.py
@@ -182,9 +182,7 @@
     local: LocalDeployment, options: RunOptions, document: Document
 ) -> dict[str, Any]:
     deployment, scenario = options.deployment, options.scenario
-    plan = LoadPlan(
-        deployment.load(document), scenario.phases(options.seconds)
-    )
+    plan = LoadPlan(deployment.load(document), scenario.phases(options.seconds))
     file = options.directory / "load.json"
     file.write_text(plan.encode(), encoding="utf-8")
     stage = Stage(local, deployment)
--- a/packages/testing/radishtray_testing/bench_scenarios.py
+++ b/packages/testing/radishtray_testing/bench_scenarios.py
@@ -101,9 +101,9 @@
 SCENARIOS: dict[str, Scenario] = {}
 
 
-def scenario(name: str, text: str, during: float = CALM_FACTOR) -> Callable[
-    [Callable[[Stage, bool], None]], Callable[[Stage, bool], None]
-]:
+def scenario(
+    name: str, text: str, during: float = CALM_FACTOR
+) -> Callable[[Callable[[Stage, bool], None]], Callable[[Stage, bool], None]]:
     """Registers a function that starts (True) or ends (False) a fault."""
 
     def register(
--- a/packages/testing/radishtray_testing/bench_summary.py
+++ b/packages/testing/radishtray_testing/bench_summary.py
@@ -89,9 +89,7 @@
     return sum(served[first:last]) / arrived if arrived else 1.0
 
 
-def _recovery(
-    served: list[float], arrivals: list[float], before: float
-) -> int:
+def _recovery(served: list[float], arrivals: list[float], before: float) -> int:
     """Bins until 0.9 of the share before the event is reached and kept.
 
     Each bin is judged with the arrivals of the second that begins with it.
