--- a/packages/state/radishtray_state/_admission.py
+++ b/packages/state/radishtray_state/_admission.py
@@ -38,8 +38,6 @@
 _TARGET_QUEUE_PER_SERVICE = 0.1
 _CORRECTION_S = 0.2
 _CORRECTION_PER_SERVICE = 0.5
-# The queue is never drained by admitting less than this share of the capacity.
-_LEAST_ADMITTED_SHARE = 0.25
 # Below this share of busy slots a threshold only wastes capacity.
 _UNDERUSED_SHARE = 0.5
 # Below this share of busy slots expected service times are not believed: if
@@ -290,10 +288,7 @@
             rate * keep + count * gain
             for rate, count in zip(self._rates, self._counts, strict=True)
         ]
-        # The hidden arrivals are assumed to change as the visible ones do.
-        before = sum(self._rates[cut:])
-        change = sum(rates[cut:]) / before if before else 1.0
-        fade = exp(-elapsed_s / _HIDDEN_MEMORY_S) * min(change, 1 / keep)
+        fade = exp(-elapsed_s / _HIDDEN_MEMORY_S)
         hidden = [
             max(rate, old * fade)
             for rate, old in zip(rates[:cut], self._rates[:cut], strict=True)
@@ -565,7 +560,6 @@
         backlog = queued + min(0, self._in_flight - limit)
         correction_s = max(_CORRECTION_S, service * _CORRECTION_PER_SERVICE)
         wanted = capacity + (target - backlog) / correction_s
-        wanted = max(wanted, capacity * _LEAST_ADMITTED_SHARE)
         self._threshold.move(elapsed, wanted)
         self._service.fade(elapsed)
         self._window_start = now
--- a/packages/state/radishtray_state/_selection.py
+++ b/packages/state/radishtray_state/_selection.py
@@ -275,6 +275,24 @@
             return chosen
         return chosen.candidate.node_id
 
+    def refuses(self, service: str, rank: int) -> bool:
+        """Whether every candidate is known to refuse the rank.
+
+        A request that needs a call to such a service would hold a slot for
+        nothing. A small share is let through as a probe, as by `choose`.
+
+        Args:
+            service: Service that will be called.
+            rank: Importance, class * 128 + level.
+        """
+        group = self._groups.get(service)
+        if group is None or not group.peers:
+            return False
+        now = self._clock.monotonic()
+        if any(peer.threshold(now) <= rank for peer in group.peers):
+            return False
+        return self.rng.random() >= _PROBE_SHARE
+
     def sent(self, node_id: str) -> None:
         """Notes that an attempt was sent; `observed` or `lost` follows."""
         peer = self._peers.get(node_id)
--- a/packages/state/radishtray_state/tests/test_selection.py
+++ b/packages/state/radishtray_state/tests/test_selection.py
@@ -128,6 +128,26 @@
     assert least <= bench.shares()[name] <= greatest
 
 
+@pytest.mark.parametrize(
+    ("before", "service", "least", "greatest"),
+    [
+        (everywhere, "s", 0.97, 0.999),
+        (see(*IDS[1:], threshold=200), "s", 0, 0),
+        (late(everywhere, 1.1), "s", 0, 0),
+        (everywhere, "unknown", 0, 0),
+    ],
+    ids=["all_thresholds", "one_admits", "old_thresholds", "unknown_service"],
+)
+def test_share_of_ranks_known_to_be_refused(
+    before: Before, service: str, least: float, greatest: float
+) -> None:
+    bench = Bench()
+    before(bench)
+    refused = [bench.selector.refuses(service, 100) for _ in range(CHOICES)]
+    assert least <= sum(refused) / CHOICES <= greatest
+    assert not bench.selector.refuses(service, 200)
+
+
 @pytest.mark.parametrize("policy", ["adaptive", "random"])
 @pytest.mark.parametrize(
     ("service", "exclude", "expected"),
--- a/packages/testing/radishtray_testing/bench_run.py
+++ b/packages/testing/radishtray_testing/bench_run.py
@@ -19,7 +19,9 @@
     ManagedProcess,
 )
 
-_IDLE_S = 3.0
+# The key slots of a service are spread over its upstreams within this time;
+# until then all keyed requests go to the first one.
+_IDLE_S = 10.0
 _SETTLE_S = 3.0
 _FIXED = "fixed"
 _VARIED = "gamma"
@@ -127,6 +129,7 @@
             "node_cpu_s": after.cpu_s - before.cpu_s,
             "node_rss_mb": max(after.rss_mb),
             "counters": counters,
+            "begun": _begun(local),
             "ended_processes": _ended(local),
         }
     finally:
@@ -223,6 +226,23 @@
     time.sleep(max(0.0, at_s - time.monotonic()))
 
 
+def _begun(local: LocalDeployment) -> dict[str, dict[str, int]]:
+    """Returns the counters of every running upstream."""
+    return {
+        node_id: _get(upstream, "/counters")
+        for node_id, upstream in local.upstreams.items()
+        if upstream.is_running
+    }
+
+
+def _get(upstream: ManagedProcess, path: str) -> dict[str, Any]:
+    port = int(upstream.ready["control_port"])
+    url = f"http://{LOOPBACK}:{port}{path}"
+    with urllib.request.urlopen(url, timeout=20) as answer:
+        shown: dict[str, Any] = json.load(answer)
+        return shown
+
+
 def _collect_effects(local: LocalDeployment) -> dict[str, Counter[str]]:
     seen: dict[str, Counter[str]] = {
         "effects": Counter(),
@@ -232,12 +252,8 @@
     for upstream in local.upstreams.values():
         if not upstream.is_running:
             continue
-        port = int(upstream.ready["control_port"])
-        with urllib.request.urlopen(
-            f"http://{LOOPBACK}:{port}/effects", timeout=20
-        ) as answer:
-            for name, counts in json.load(answer).items():
-                seen[name].update(counts)
+        for name, counts in _get(upstream, "/effects").items():
+            seen[name].update(counts)
     return seen
 
 
--- a/packages/testing/radishtray_testing/bench_summary.py
+++ b/packages/testing/radishtray_testing/bench_summary.py
@@ -69,8 +69,9 @@
     @property
     def cpu_ms_per_call(self) -> float:
         """Processor time of all nodes for each first attempt."""
-        attempts = self.run["counters"].get("radishtray_attempts_total", 0)
-        return 1000 * float(self.run["node_cpu_s"]) / max(1, attempts)
+        counters: dict[str, float] = self.run["counters"]
+        attempts = counters.get("radishtray_attempts_total", 0.0)
+        return 1000 * float(self.run["node_cpu_s"]) / max(1.0, attempts)
 
 
 def weighted(run: dict[str, Any], series: str) -> list[float]:
