--- a/packages/testing/radishtray_testing/_upstream_work.py
+++ b/packages/testing/radishtray_testing/_upstream_work.py
@@ -21,8 +21,18 @@
 KEY_HEADER = "Idempotency-Key"
 RUN_ID_HEADER = "Test-Run-Id"
 """Set by the caller; shows which requests without a key were run."""
+REQUEST_ID_HEADER = "Radishtray-Request-Id"
 CRASH_EXIT_CODE = 70
 _JSON = ["Content-Type", "application/json"]
+_GAMMA_SHAPE = 4
+DISTRIBUTIONS: dict[str, Callable[[random.Random, float], float]] = {
+    "exponential": lambda rng, mean: rng.expovariate(1 / mean),
+    "fixed": lambda rng, mean: mean,
+    "gamma": lambda rng, mean: rng.gammavariate(
+        _GAMMA_SHAPE, mean / _GAMMA_SHAPE
+    ),
+}
+"""Draw of a time of work from its mean; gamma varies by half its mean."""
 
 
 class Faults:
@@ -151,17 +161,20 @@
         counters: Events by name.
         effects: Begun runs by idempotency key; above 1 is a duplicate.
         runs: Begun runs by the caller's `Test-Run-Id`.
+        chains: Begun runs by request id of the chain and path; above 1 shows
+            retries.
         frozen: Steps that continue once the freeze ends.
     """
 
     __slots__ = (
-        "_is_fixed",
+        "_draw",
         "_plan",
         "_rng",
         "_running",
         "_silent",
         "_slots",
         "_waiting",
+        "chains",
         "counters",
         "effects",
         "faults",
@@ -178,7 +191,7 @@
         plan: WorkPlan,
         slots: int,
         rng: random.Random,
-        is_fixed: bool = False,
+        distribution: str = "exponential",
     ) -> None:
         """Starts idle.
 
@@ -188,8 +201,7 @@
             plan: What to do for each kind.
             slots: Requests that run at the same time.
             rng: Randomness of the time of work.
-            is_fixed: Whether the time of work is always the mean; else it is
-                exponentially distributed.
+            distribution: Name of the distribution of the time of work.
         """
         self.reactor = reactor
         self.node = node
@@ -197,11 +209,12 @@
         self.counters: Counter[str] = Counter()
         self.effects: Counter[str] = Counter()
         self.runs: Counter[str] = Counter()
+        self.chains: Counter[str] = Counter()
         self.frozen: list[Callable[[], None]] = []
         self._plan = plan
         self._slots = slots
         self._rng = rng
-        self._is_fixed = is_fixed
+        self._draw = DISTRIBUTIONS[distribution]
         self._running: set[_Job] = set()
         self._waiting: deque[_Job] = deque()
         self._silent: WeakSet[Any] = WeakSet()
@@ -216,7 +229,9 @@
         marker = self.faults.crash_marker
         if marker and marker.encode() in http.body:
             os._exit(CRASH_EXIT_CODE)
-        job = _Job(self, http, self._plan.of(http.uri.decode("latin-1")))
+        method = http.method.decode("latin-1")
+        plan = self._plan.of(method, http.uri.decode("latin-1"))
+        job = _Job(self, http, plan)
         if len(self._running) < self._slots:
             self._begin(job)
         else:
@@ -236,9 +251,7 @@
     def work_time(self, plan: KindPlan) -> float:
         """Returns the seconds of work for one request."""
         mean_s = plan.service_s * self.faults.slow_factor
-        if self._is_fixed or not mean_s:
-            return mean_s
-        return self._rng.expovariate(1 / mean_s)
+        return self._draw(self._rng, mean_s) if mean_s else 0.0
 
     def is_silent(self, http: HttpRequest) -> bool:
         """Whether the connection of a request no longer answers."""
@@ -257,11 +270,16 @@
     def _begin(self, job: _Job) -> None:
         self._running.add(job)
         self.counters["begun"] += 1
-        self._count(self.effects, job.http.header(KEY_HEADER.encode()))
-        self._count(self.runs, job.http.header(RUN_ID_HEADER.encode()))
+        self._count(self.effects, job.http, KEY_HEADER)
+        self._count(self.runs, job.http, RUN_ID_HEADER)
+        path = job.http.uri.decode("latin-1")
+        self._count(self.chains, job.http, REQUEST_ID_HEADER, f" {path}")
         job.run()
 
     @staticmethod
-    def _count(counts: Counter[str], name: bytes | None) -> None:
-        if name is not None:
-            counts[name.decode("latin-1")] += 1
+    def _count(
+        counts: Counter[str], http: HttpRequest, header: str, suffix: str = ""
+    ) -> None:
+        value = http.header(header.encode())
+        if value is not None:
+            counts[value.decode("latin-1") + suffix] += 1
