Judge a node connection by its pongs, not by any received byte

Cause: a connection whose outgoing direction had gone silent stayed in use, because the receiver's own pings counted as signs of life. All calls on it ended at their deadline with an unknown outcome although none had arrived. Change: every link has one ping under way; without its pong for 1.5 s the connection is aborted. last_received_s is gone. Ruled out: a fault of the simulated pipe; with both directions silent (silent_never_seen) the previous rule found the silence.

--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -22,7 +22,6 @@
 )
 
 _LOG = logging.getLogger(__name__)
-PING_INTERVAL_S = 0.5
 SILENCE_S = 1.5
 _RECONNECT_S = 0.2
 # Refused or failed connections in a row after which attempts that were handed
@@ -77,7 +76,8 @@
 class PeerLink:
     """Keeps one connection to a node and settles attempts over reconnects.
 
-    A connection without received bytes for `SILENCE_S` is aborted. The next
+    A connection without a pong for `SILENCE_S` is aborted. Other bytes of the
+    peer do not show that it still receives what this node sends. The next
     one has a higher epoch, which makes the receiver reject frames of the old
     one, and asks for the attempts that were handed to it.
     """
@@ -92,6 +92,7 @@
         "_on_rejected",
         "_outstanding",
         "_ping_sequence",
+        "_pinged_s",
         "_reactor",
         "_signer",
         "_timers",
@@ -136,6 +137,7 @@
         self._is_closed = False
         self._failures = 0
         self._ping_sequence = 0
+        self._pinged_s: float | None = None
 
     @property
     def outstanding(self) -> int:
@@ -186,13 +188,14 @@
         connection = self._connection
         if connection is None or not connection.is_ready:
             return
-        silent_s = self._reactor.seconds() - connection.last_received_s
-        if silent_s > SILENCE_S:
-            self._on_rejected("silent_connection")
-            connection.abort()
-        elif silent_s >= PING_INTERVAL_S / 2:
+        now_s = self._reactor.seconds()
+        if self._pinged_s is None:
+            self._pinged_s = now_s
             self._ping_sequence += 1
             connection.ping(self._ping_sequence)
+        elif now_s - self._pinged_s >= SILENCE_S:
+            self._on_rejected("silent_connection")
+            connection.abort()
 
     def close(self) -> None:
         """Closes the connection; attempts not handed over fail as not run."""
@@ -234,6 +237,7 @@
         assert connection.peer is not None
         self._is_opening = False
         self._failures = 0
+        self._pinged_s = None
         reopened = self._outstanding.opened(
             connection.epoch, connection.peer.incarnation
         )
@@ -290,7 +294,9 @@
                 self._fail(item.context, SendFailure.UNKNOWN)
 
     def pong_received(self, connection: NodeConnection, sequence: int) -> None:
-        """Needs no action; received bytes are the sign of life."""
+        """Notes that the peer receives what this node sends."""
+        if connection is self._connection and sequence == self._ping_sequence:
+            self._pinged_s = None
 
     def connection_rejected(self, reason: str) -> None:
         """Counts a connection that this side aborted."""
--- /dev/null
+++ b/packages/node/radishtray_node/tests/test_node_faults.py
@@ -0,0 +1,274 @@
+"""Guards against false or missing results of calls between two nodes.
+
+Every case ends with each caller holding exactly one result, and none that
+claims `not_run` for a request that the upstream ran.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from radishtray_protocol import wire
+from radishtray_testing.node_builders import (
+    Caller,
+    MemoryCluster,
+    MemoryNode,
+    build_document,
+)
+from radishtray_transport import NodeConnection
+
+OTHER_KEYS = "a:" + "22" * 32
+
+
+class Bench:
+    """Entry node `a`, node `b` with an upstream of two slots."""
+
+    def __init__(self, **document: Any) -> None:
+        """Starts both nodes; nothing is connected yet."""
+        self.cluster = MemoryCluster(build_document("s", **document))
+        self.b: MemoryNode = self.cluster.add("b", "s")
+        self.a: MemoryNode = self.cluster.add("a")
+        self.a.use("s", "b")
+        self.caller: Caller = self.cluster.caller(self.a)
+        self.sent: list[str] = []
+
+    def run(self, seconds: float) -> None:
+        self.cluster.network.run(seconds)
+
+    def send(self, path: str = "/s/write", key: str = "") -> int:
+        """Sends a request with a path of its own."""
+        number = len(self.sent)
+        self.sent.append(f"{path[2:]}?{number}")
+        method = "GET" if path.endswith("read") else "POST"
+        self.caller.send(method, f"{path}?{number}", key)
+        self.run(0.05)
+        return number
+
+    @property
+    def upstream(self) -> Any:
+        return self.b.upstream
+
+    def ends(self) -> tuple[Any, Any]:
+        """Returns the ends at `a` and at `b` of the newest connection."""
+        return self.cluster.link_ends("b")[-1]
+
+    def silence(self, opening: bool = True, accepting: bool = True) -> None:
+        """Lets what the two ends send vanish."""
+        a, b = self.ends()
+        a.is_silent, b.is_silent = opening, accepting
+
+    def restart_b(self, incarnation: int) -> None:
+        """Replaces node `b` and its upstream at the same address."""
+        port = self.cluster.node_ports["b"]
+        for _, accepting in self.cluster.link_ends("b"):
+            accepting.abortConnection()
+        self.b = self.cluster.add("b", "s", incarnation=incarnation)
+        listening = self.cluster.network.listening
+        listening[port] = listening[self.cluster.node_ports["b"]]
+
+    def check(self) -> list[str]:
+        """Returns what the caller saw, after checking every claim."""
+        seen = [self.caller.seen(n) for n in range(len(self.sent))]
+        assert "open" not in seen, seen
+        for number, path in enumerate(self.sent):
+            runs = self.upstream.runs.count(path)
+            assert runs <= 1, f"{path} ran {runs} times"
+            assert not (self.caller.claims_not_run(number) and runs), path
+        return seen
+
+
+def refused(bench: Bench) -> None:
+    bench.b.node_listener.close()
+    bench.send()
+
+
+def wrong_key(bench: Bench) -> None:
+    bench.cluster.add("b", "s", keys=OTHER_KEYS)
+    bench.send()
+
+
+def mute(bench: Bench) -> None:
+    bench.cluster.network.mute_ports.add(bench.cluster.node_ports["b"])
+    bench.send()
+
+
+def cut_while_running(bench: Bench) -> None:
+    bench.send()
+    bench.ends()[0].abortConnection()
+    bench.run(0.5)
+    bench.upstream.answer()
+
+
+def silent_never_seen(bench: Bench) -> None:
+    bench.send()
+    bench.upstream.answer()
+    bench.run(0.1)
+    bench.silence()
+    bench.send()
+
+
+def silent_running(bench: Bench) -> None:
+    bench.send()
+    bench.silence()
+    bench.run(2.5)
+    bench.upstream.answer()
+
+
+def silent_done(bench: Bench) -> None:
+    bench.send()
+    bench.silence()
+    bench.run(0.5)
+    bench.upstream.answer()
+
+
+def silent_answers_only(bench: Bench) -> None:
+    bench.send()
+    bench.silence(opening=False)
+    bench.upstream.answer()
+    bench.send()
+
+
+def silent_calls_only(bench: Bench) -> None:
+    """The receiver's own pings still arrive."""
+    bench.send()
+    bench.upstream.answer()
+    bench.run(0.1)
+    bench.silence(accepting=False)
+    bench.send()
+    bench.run(2.5)
+    bench.send()
+    bench.upstream.answer(b"third")
+
+
+def frames_of_fenced_connection(bench: Bench) -> None:
+    bench.send()
+    bench.upstream.answer()
+    bench.run(0.1)
+    opening, accepting = bench.ends()
+    opening.holds_back, accepting.is_silent = True, True
+    bench.send()
+    bench.run(2.5)
+    # Also what a read has taken from the socket before the fence.
+    late = list(opening._held)
+    opening.release()
+    accepting.connected = True
+    for arrive in late:
+        arrive()
+
+
+def duplicate_call_frame(bench: Bench) -> None:
+    bench.send()
+    bench.upstream.answer()
+    opening, _ = bench.ends()
+    opening.holds_back = True
+    bench.send()
+    frames = list(opening._held)
+    opening.release()
+    for arrive in frames:
+        opening._carry(arrive)
+    bench.run(0.1)
+    bench.upstream.answer(b"second")
+
+
+def paused_receiver(bench: Bench) -> None:
+    bench.send()
+    bench.upstream.answer()
+    bench.run(0.1)
+    _, accepting = bench.ends()
+    accepting.pauseProducing()
+    bench.send()
+    bench.run(2.5)
+    accepting.resumeProducing()
+
+
+def restarted(bench: Bench) -> None:
+    bench.send()
+    bench.restart_b(incarnation=2)
+
+
+def gone_for_good(bench: Bench) -> None:
+    bench.send()
+    bench.b.node_listener.close()
+    bench.ends()[1].abortConnection()
+
+
+def answers(bench: Bench, *attempt_ids: int) -> None:
+    """Sends answers from `b` that name their attempt in the body."""
+    connection: NodeConnection = bench.ends()[1].protocol
+    for attempt_id in attempt_ids:
+        answer = wire.Answer(
+            attempt_id=attempt_id,
+            status=200,
+            headers=[],
+            body=f"attempt {attempt_id}".encode(),
+            retries_used=0,
+            threshold=0,
+            queue_ms=0,
+            in_flight=0,
+        )
+        connection.send(wire.Frame(answer=answer))
+
+
+def crossed_and_duplicate_answers(bench: Bench) -> None:
+    bench.send()
+    bench.send()
+    answers(bench, 2, 7, 2, 1, 1, 0, -1)
+
+
+def deadline_while_running(bench: Bench) -> None:
+    bench.send()
+    bench.run(6)
+    assert bench.upstream.cancelled == ["/write?0"]
+
+
+def deadline_in_full_queue(bench: Bench) -> None:
+    for _ in range(3):
+        bench.send()
+    bench.run(6)
+
+
+# Name: steps, what the callers see after 12 s.
+CASES: dict[str, tuple[Callable[[Bench], None], list[str]]] = {
+    "connection_refused": (refused, ["never_arrived"]),
+    "handshake_with_wrong_key": (wrong_key, ["never_arrived"]),
+    "connection_never_says_anything": (mute, ["deadline_queued"]),
+    "cut_while_running": (cut_while_running, ["done"]),
+    "silent_never_seen": (silent_never_seen, ["done", "never_arrived"]),
+    "silent_running": (silent_running, ["done"]),
+    "silent_done": (silent_done, ["done"]),
+    "silent_answers_only": (silent_answers_only, ["done", "deadline_running"]),
+    "silent_calls_only": (
+        silent_calls_only,
+        ["done", "never_arrived", "third"],
+    ),
+    "frames_of_fenced_connection": (
+        frames_of_fenced_connection,
+        ["done", "never_arrived"],
+    ),
+    "duplicate_call_frame": (duplicate_call_frame, ["done", "second"]),
+    "paused_receiver": (paused_receiver, ["done", "never_arrived"]),
+    "receiver_restarted": (restarted, ["node_lost"]),
+    "receiver_gone_for_good": (gone_for_good, ["node_lost"]),
+    "crossed_and_duplicate_answers": (
+        crossed_and_duplicate_answers,
+        ["attempt 1", "attempt 2"],
+    ),
+    "deadline_while_running": (deadline_while_running, ["deadline_running"]),
+    "deadline_in_full_queue": (
+        deadline_in_full_queue,
+        ["deadline_running", "deadline_running", "deadline_expected"],
+    ),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_every_caller_gets_one_true_result(name: str) -> None:
+    steps, expected = CASES[name]
+    bench = Bench(retry_budget=0)
+    steps(bench)
+    bench.run(12)
+    assert bench.check() == expected
+    assert bench.a.entry.active == 0
+    assert bench.a.router.outstanding == 0
+    assert bench.b.server.unfinished == 0
--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -86,7 +86,6 @@
 
     Attributes:
         peer: The peer's hello, once it has been verified.
-        last_received_s: Reactor time of the last received bytes.
     """
 
     def __init__(
@@ -111,7 +110,6 @@
             max_frame_bytes: Longest accepted frame.
         """
         self.peer: wire.Hello | None = None
-        self.last_received_s = 0.0
         self._reactor = reactor
         self._signer = signer
         self._is_opening = is_opening
@@ -144,7 +142,6 @@
         """Sends the hello and starts the time limit of the handshake."""
         self.transport.setTcpNoDelay(True)
         self._writer = DirectWriter(self.transport)
-        self.last_received_s = self._reactor.seconds()
         self._timer = self._reactor.callLater(
             _HANDSHAKE_TIMEOUT_S, self._reject, "handshake_timeout"
         )
@@ -156,7 +153,6 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Decodes and handles received frames."""
-        self.last_received_s = self._reactor.seconds()
         try:
             self._decoder.feed(data, self._dispatch)
         except FrameError as error:
