--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -22,7 +22,6 @@
 )
 
 _LOG = logging.getLogger(__name__)
-PING_AFTER_S = 0.2
 SILENCE_S = 0.8
 # A link without attempts is closed, so that a node keeps connections only to
 # the nodes that it really calls.
@@ -82,9 +81,10 @@
 class PeerLink:
     """Keeps one connection to a node and settles attempts over reconnects.
 
-    A connection that does not answer a ping within `SILENCE_S` is aborted.
-    The next one has a higher epoch, which makes the receiver reject frames of
-    the old one, and asks for the attempts that were handed to it.
+    A connection without a pong for `SILENCE_S` is aborted. Other bytes of the
+    peer do not show that it still receives what this node sends. The next
+    one has a higher epoch, which makes the receiver reject frames of the old
+    one, and asks for the attempts that were handed to it.
     """
 
     __slots__ = (
@@ -210,22 +210,17 @@
             return
         now_s = self._reactor.seconds()
         if not self._outstanding.outstanding:
+            self._pinged_s = None
             if now_s - self._last_sent_s > IDLE_S:
                 connection.close()
             return
-        quiet_s = now_s - max(connection.last_received_s, self._last_sent_s)
-        if self._pinged_s is not None and (
-            connection.last_received_s >= self._pinged_s
-        ):
-            self._pinged_s = None
-        if self._pinged_s is not None:
-            if now_s - self._pinged_s > SILENCE_S:
-                self._on_rejected("silent_connection")
-                connection.abort()
-        elif quiet_s >= PING_AFTER_S:
+        if self._pinged_s is None:
             self._pinged_s = now_s
             self._ping_sequence += 1
             connection.ping(self._ping_sequence)
+        elif now_s - self._pinged_s >= SILENCE_S:
+            self._on_rejected("silent_connection")
+            connection.abort()
 
     def close(self) -> None:
         """Closes the connection; attempts not handed over fail as not run."""
@@ -275,6 +270,7 @@
         assert connection.peer is not None
         self._is_opening = False
         self._failures = 0
+        self._pinged_s = None
         reopened = self._outstanding.opened(
             connection.epoch, connection.peer.incarnation
         )
@@ -331,7 +327,9 @@
                 self._fail(item.context, SendFailure.UNKNOWN)
 
     def pong_received(self, connection: NodeConnection, sequence: int) -> None:
-        """Needs no action; received bytes are the sign of life."""
+        """Notes that the peer receives what this node sends."""
+        if connection is self._connection and sequence == self._ping_sequence:
+            self._pinged_s = None
 
     def connection_rejected(self, reason: str) -> None:
         """Counts a connection that this side aborted."""
