--- a/packages/testing/radishtray_testing/bench_deployments.py
+++ b/packages/testing/radishtray_testing/bench_deployments.py
@@ -59,13 +59,14 @@
         domains: Failure domains; upstreams are spread over them in turn.
         services: The services.
         deep_service: The service that the chains end in.
+        mix: Relative rate and path at the entry, by `service/kind`.
     """
 
     __slots__ = (
         "_document",
-        "_mix",
         "deep_service",
         "domains",
+        "mix",
         "name",
         "services",
     )
@@ -93,7 +94,7 @@
         self.domains = domains
         self.deep_service = deep_service
         self.services = services
-        self._mix = mix
+        self.mix = mix
         self._document = _EXAMPLES / document
 
     @property
@@ -124,7 +125,7 @@
     def busy_share(self, document: Document) -> dict[str, float]:
         """Returns the mean share of busy slots by service at the rates."""
         busy: dict[str, float] = defaultdict(float)
-        for name, (rate, _) in self._mix.items():
+        for name, (rate, _) in self.mix.items():
             self._add_busy(busy, document, name, rate)
         return {
             size.name: busy[size.name] / (size.upstreams * size.slots)
@@ -142,7 +143,7 @@
         """Returns the load that fills the slots of the narrowest service."""
         fill = 1 / max(self.busy_share(document).values())
         loads = []
-        for name, (share, path) in self._mix.items():
+        for name, (share, path) in self.mix.items():
             kind = _kind(document, name)
             loads.append(
                 KindLoad(
--- a/packages/testing/radishtray_testing/bench_run.py
+++ b/packages/testing/radishtray_testing/bench_run.py
@@ -114,11 +114,11 @@
             "seed": options.seed,
             "seconds": options.seconds,
             "kinds": loads["kinds"],
-            "false_refusals": _false_refusals(loads["not_run"], seen["runs"]),
+            "false_refusals": false_refusals(loads["not_run"], seen["runs"]),
             "not_run_answers": len(loads["not_run"]),
             "duplicated_effects": sum(n > 1 for n in seen["effects"].values()),
             "effects": len(seen["effects"]),
-            "most_retries_run": _most_retries(seen["chains"]),
+            "most_retries_run": most_retries(seen["chains"]),
             "chain_ms": {
                 kind["kind"]["name"]: options.deployment.chain_ms(
                     document, kind["kind"]["name"]
@@ -270,12 +270,12 @@
     return dict(totals)
 
 
-def _false_refusals(not_run: list[str], runs: Counter[str]) -> int:
+def false_refusals(not_run: list[str], runs: Counter[str]) -> int:
     """Counts attempts that were answered `not_run` and yet began."""
     return sum(run_id in runs for run_id in not_run)
 
 
-def _most_retries(chains: Counter[str]) -> int:
+def most_retries(chains: Counter[str]) -> int:
     """Most further runs begun within one chain; equal calls count once."""
     retries: Counter[str] = Counter()
     for name, count in chains.items():
