Count a caller that leaves a keyed run only once

Cause: the entry counted such a request as over at the disconnect and again when the run ended. The count of active requests then fell below the truth: a drain could close with requests in flight, or wait for the whole drain time at a count below zero. Change: the end of a run whose caller has gone only notes an unknown outcome. Result: test_a_keyed_run_goes_on_and_its_resend_gets_the_first_answer found entry.active at -1 before and passes now. The file also covers cancels, a disconnect down a chain and the retry budget of three hops. Ruled out: calls that are not keyed; their cancel drops the callback.

--- a/packages/node/radishtray_node/_entry.py
+++ b/packages/node/radishtray_node/_entry.py
@@ -19,7 +19,14 @@
 class _EntryRequest:
     """One request of a caller, from its arrival to the answer."""
 
-    __slots__ = ("_entry", "_http", "_kind", "_request", "_started_s")
+    __slots__ = (
+        "_entry",
+        "_http",
+        "_is_gone",
+        "_kind",
+        "_request",
+        "_started_s",
+    )
 
     def __init__(
         self,
@@ -34,16 +41,20 @@
         self._kind = kind
         self._request = request
         self._started_s = started_s
+        self._is_gone = False
         http.on_disconnect = self._disconnected
 
     def finish(self, result: CallResult) -> None:
-        """Answers the caller."""
+        """Answers the caller, if it has not disconnected."""
         entry = self._entry
-        entry.active -= 1
         reason = result.refusal
         if reason is not None:
-            entry.router.metrics.delivered(reason)
             self._note_unknown(reason)
+        if self._is_gone:
+            return
+        entry.active -= 1
+        if reason is not None:
+            entry.router.metrics.delivered(reason)
         entry.timer.record(entry.router.clock.monotonic() - self._started_s)
         self._http.respond(result.status, result.headers, result.body)
 
@@ -60,6 +71,7 @@
     def _disconnected(self) -> None:
         entry = self._entry
         entry.active -= 1
+        self._is_gone = True
         if not self._kind.at_most_once:
             self._request.cancel_calls()
             return
--- /dev/null
+++ b/packages/node/radishtray_node/tests/test_call_chains.py
@@ -0,0 +1,209 @@
+"""Guards against false claims after cancels, crashes and lost budgets."""
+
+from typing import Any
+
+import pytest
+
+from radishtray_testing.node_builders import (
+    Caller,
+    MemoryCluster,
+    MemoryNode,
+    build_document,
+)
+from radishtray_transport import HttpRequest
+
+
+def labelled(reason: str, outcome: str) -> str:
+    return f'radishtray_refusals_total{{outcome="{outcome}",reason="{reason}"}}'
+
+
+CANCELLED_QUEUED = labelled("cancelled_queued", "not_run")
+CANCELLED_RUNNING = labelled("cancelled_running", "outcome_unknown")
+
+
+class Bench:
+    """Entry node `a` and node `b` with an upstream of one slot."""
+
+    def __init__(
+        self, slots: int = 1, nodes: str = "b", **document: Any
+    ) -> None:
+        """Starts the nodes; `b` owns all keys."""
+        self.cluster = MemoryCluster(build_document("s", **document))
+        self.nodes: list[MemoryNode] = [
+            self.cluster.add(node_id, "s", slots=slots) for node_id in nodes
+        ]
+        self.b = self.nodes[0]
+        self.a: MemoryNode = self.cluster.add("a")
+        self.a.use("s", *nodes)
+        self.b.own_keys("s", self.a)
+        self.caller: Caller = self.cluster.caller(self.a)
+
+    def run(self, seconds: float = 0.1) -> None:
+        self.cluster.network.run(seconds)
+
+    def send(self, path: str = "/s/write", key: str = "") -> int:
+        number = self.caller.send("POST", path, key)
+        self.run()
+        return number
+
+    def all_runs(self) -> list[str]:
+        return [run for node in self.nodes for run in node.upstream.runs]
+
+
+def test_a_cancel_while_running_is_counted_as_unknown() -> None:
+    bench = Bench()
+    bench.caller.disconnect(bench.send())
+    bench.run()
+    assert bench.b.upstream.cancelled == ["/write"]
+    assert bench.b.counted(CANCELLED_RUNNING) == 1
+    assert bench.b.local.admission.in_flight == 0
+
+
+def test_a_cancel_while_queued_never_runs() -> None:
+    bench = Bench()
+    bench.send("/s/write?1")
+    bench.caller.disconnect(bench.send("/s/write?2"))
+    bench.run()
+    bench.b.upstream.answer()
+    bench.run(1)
+    assert bench.b.upstream.runs == ["/write?1"]
+    assert bench.b.counted(CANCELLED_QUEUED) == 1
+
+
+def test_a_cancel_that_overtakes_its_call_prevents_the_run() -> None:
+    """The caller leaves before the link has a connection."""
+    bench = Bench()
+    number = bench.caller.send("POST", "/s/write")
+    for _ in range(3):
+        bench.cluster.network.advance(0)
+    bench.caller.disconnect(number)
+    bench.run(1)
+    assert bench.a.router.outstanding == 0
+    assert len(bench.b.upstream.runs) == len(bench.b.upstream.cancelled)
+
+
+def test_a_disconnect_cancels_the_whole_chain() -> None:
+    cluster = MemoryCluster(build_document("s", "t"))
+    c: MemoryNode = cluster.add("c", "t")
+    b: MemoryNode = cluster.add("b", "s")
+    a: MemoryNode = cluster.add("a")
+    a.use("s", "b")
+    b.use("t", "c")
+
+    def call_on(http: HttpRequest) -> None:
+        handle = (http.header(b"Radishtray-Context") or b"").decode()
+        pending = b.upstream.api.request(
+            "POST",
+            "/call/t/write",
+            ["Radishtray-Context", handle],
+            b"",
+            lambda _: None,
+            lambda _: None,
+        )
+        # The upstream itself ignores the cancel and keeps its call open.
+        assert pending is not None
+
+    b.upstream.on_run = call_on
+    caller = cluster.caller(a)
+    caller.send("POST", "/s/write")
+    cluster.network.run(0.2)
+    assert c.upstream.runs == ["/write"]
+    caller.disconnect(0)
+    cluster.network.run(0.2)
+    assert c.upstream.cancelled == ["/write"]
+    assert b.counted(CANCELLED_RUNNING) == c.counted(CANCELLED_RUNNING) == 1
+    assert [n.server.unfinished for n in (a, b, c)] == [0, 0, 0]
+
+
+def test_a_keyed_run_goes_on_and_its_resend_gets_the_first_answer() -> None:
+    bench = Bench()
+    key = bench.cluster.new_key()
+    bench.caller.disconnect(bench.send("/s/buy", key))
+    bench.run(1)
+    resend = bench.send("/s/buy", key)
+    assert bench.b.upstream.cancelled == []
+    bench.b.upstream.answer(b"first")
+    bench.run()
+    late = bench.send("/s/buy", key)
+    other = bench.send("/s/buy?other", key)
+    seen = [bench.caller.seen(n) for n in (resend, late, other)]
+    assert seen == ["first", "first", "key_reused"]
+    assert bench.b.upstream.runs == ["/buy"]
+    assert bench.a.entry.active == 0, "a drain would cut or outwait requests"
+
+
+def test_a_keyed_run_answers_its_resend_after_the_deadline() -> None:
+    bench = Bench()
+    key = bench.cluster.new_key()
+    bench.send("/s/buy", key)
+    bench.run(5)
+    assert bench.caller.seen(0) == "deadline_running"
+    bench.b.upstream.answer(b"late")
+    bench.run()
+    assert bench.caller.seen(bench.send("/s/buy", key)) == "late"
+    assert bench.b.upstream.runs == ["/buy"]
+
+
+# Retry budget of the entry, and whether answers are lost on the way.
+BUDGETS = [(0, False), (1, False), (3, False), (6, False), (6, True)]
+
+
+@pytest.mark.parametrize(("budget", "is_lossy"), BUDGETS)
+def test_retries_of_three_hops_stay_within_the_budget(
+    budget: int, is_lossy: bool
+) -> None:
+    """Every upstream of the last hop refuses; all hops want to retry."""
+    services = ("s", "t", "u")
+    document = build_document(*services, retry_budget=budget)
+    cluster = MemoryCluster(document)
+    nodes: dict[str, list[MemoryNode]] = {
+        service: [cluster.add(f"{service}{n}", service) for n in range(4)]
+        for service in services
+    }
+    a: MemoryNode = cluster.add("a")
+    senders = [a, *(n for group in nodes.values() for n in group)]
+    for sender in senders:
+        for service, group in nodes.items():
+            sender.use(service, *(n.node_id for n in group))
+
+    def relay(node: MemoryNode, service: str) -> Any:
+        def run(http: HttpRequest) -> None:
+            handle = (http.header(b"Radishtray-Context") or b"").decode()
+            node.upstream.api.request(
+                "GET",
+                f"/call/{service}/read",
+                ["Radishtray-Context", handle],
+                b"",
+                lambda _: http.channel and http.channel.loseConnection(),
+                lambda _: None,
+            )
+
+        return run
+
+    def fail(http: HttpRequest) -> None:
+        if http.channel is not None:
+            http.channel.loseConnection()
+
+    for service, following in (("s", "t"), ("t", "u")):
+        for node in nodes[service]:
+            node.upstream.on_run = relay(node, following)
+    for node in nodes["u"]:
+        node.upstream.on_run = fail
+    if is_lossy:
+        for node in nodes["t"][:2]:
+            for sender in nodes["s"]:
+                sender.router.forget(node.node_id)
+            cluster.network.mute_ports.add(cluster.node_ports[node.node_id])
+    caller = cluster.caller(a)
+    caller.send("GET", "/s/read")
+    cluster.network.run(8)
+    assert caller.seen() != "open"
+    retries = sum(
+        float(line.rpartition(" ")[2])
+        for node in senders
+        for line in node.metrics.exposition().decode().splitlines()
+        if line.startswith("radishtray_retries_total")
+    )
+    assert retries <= budget
+    runs = sum(len(n.upstream.runs) for n in nodes["s"])
+    assert is_lossy or (runs > 1) == (budget > 0), "a budget must be used"
