Call a cancelled resend of a running key unknown

Cause: a resend that waits for the first run was treated as queued work, so its cancel was answered and counted as not_run although the run goes on. Change: the cancel of a joined call is cancelled_running. Ruled out: the deadline of a joined call, which was already reported as running.

--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -270,7 +270,10 @@
         Running keyed work goes on, so that its record gets the answer.
         """
         self._is_cancelled = True
-        if self._phase is _Phase.WAITING:
+        if self._phase is _Phase.WAITING and self._joined_key is not None:
+            # The joined run goes on and may take effect.
+            self._refuse(RefusalReason.CANCELLED_RUNNING)
+        elif self._phase is _Phase.WAITING:
             self._withdraw()
             self._refuse(RefusalReason.CANCELLED_QUEUED)
         elif self._phase is _Phase.RUNNING and self._key is None:
--- a/packages/node/radishtray_node/tests/test_call_chains.py
+++ b/packages/node/radishtray_node/tests/test_call_chains.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from radishtray_protocol import wire
 from radishtray_testing.node_builders import (
     Caller,
     MemoryCluster,
@@ -144,6 +145,21 @@
     assert bench.b.upstream.runs == ["/buy"]
 
 
+def test_a_cancelled_resend_does_not_call_the_joined_run_not_run() -> None:
+    """A sender that gave up on a resend must not read `not_run`."""
+    bench = Bench()
+    key = bench.cluster.new_key()
+    bench.send("/s/buy", key)
+    bench.run(2)
+    bench.send("/s/buy", key)
+    opening, _ = bench.cluster.link_ends("b")[-1]
+    opening.protocol.send(wire.Frame(cancel=wire.Cancel(attempt_id=2)))
+    bench.run()
+    assert bench.caller.seen(1) == "cancelled_running"
+    assert bench.b.upstream.runs == ["/buy"]
+    assert bench.b.counted(CANCELLED_QUEUED) == 0
+
+
 # Retry budget of the entry, and whether answers are lost on the way.
 BUDGETS = [(0, False), (1, False), (3, False), (6, False), (6, True)]
 
