Run one crash suspect at a time and remember crashes at the sender

Cause: a suspect was checked before it queued for a slot, so two suspects that queued together ran together, and an innocent request was lost in a second crash. The sender forgot a crash with the call, so each resend of a request that crashes upstreams took two more of them. Change: the check is repeated when the slot is granted; a slot given back does not count as service time. The sender notes the crashes and the recovery that answers tell, and passes known crashes on. Ruled out: gossip, which carries suspects to other nodes, but not between the resends at one entry within its delay.

--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -13,6 +13,7 @@
 from radishtray_state import (
     Candidate,
     Clock,
+    CrashSuspect,
     CrashSuspects,
     KeyRouter,
     RefusalReason,
@@ -25,6 +26,7 @@
 _TABLE_PULL_TIMEOUT_S = 0.5
 _BLOCKED_CRASHES = 2
 _PULL_TARGETS = 3
+_SUSPECT_TIME_S = 60.0
 
 LinkFactory = Callable[[str], PeerLink | None]
 """Returns a link to a node id, or None if its address is not known."""
@@ -143,6 +145,20 @@
             return host or RefusalReason.NO_UPSTREAM
         return self.selector.choose(service, rank, exclude)
 
+    def crashes(self, fingerprint: int) -> int:
+        """Returns how many crashes are known of a request's content."""
+        return self._suspects.crashes(fingerprint)
+
+    def note_crashes(self, fingerprint: int, crashes: int) -> None:
+        """Remembers what an answer said about a request's content.
+
+        Args:
+            fingerprint: Digest of the request.
+            crashes: Crashes known with this one; 0 after a whole answer.
+        """
+        news = CrashSuspect(fingerprint, crashes, _SUSPECT_TIME_S)
+        self._suspects.merge([news])
+
     def expected_s(self, kind: RequestKind) -> float:
         """Returns the expected duration of an attempt, in seconds."""
         del kind  # Retries are bounded by their deadline at the receiver.
--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -148,12 +148,15 @@
         digest.update(call.body)
         return digest.digest()
 
-    def _check_suspect(self) -> None:
-        """Refuses a blocked fingerprint; runs one suspect at a time."""
+    def _suspect_verdict(self) -> SuspectVerdict:
         suspects = self._server.upstream.suspects
-        verdict = suspects.check(
+        return suspects.check(
             self.request.fingerprint, self.request.crash_count
         )
+
+    def _check_suspect(self) -> None:
+        """Refuses a blocked fingerprint; runs one suspect at a time."""
+        verdict = self._suspect_verdict()
         if verdict is SuspectVerdict.REFUSE:
             self._refuse(RefusalReason.CRASH_SUSPECT)
         elif verdict is SuspectVerdict.WAIT:
@@ -182,13 +185,23 @@
             self._ticket = None
             self._refuse(reason)
 
+    def _give_slot_back(self) -> None:
+        ticket = self._ticket
+        self._ticket = None
+        if ticket is not None:
+            self._server.upstream.admission.finish(ticket, None)
+
     def _run(self) -> None:
+        if self._suspect_verdict() is not SuspectVerdict.RUN:
+            # Another suspect began, or a crash was noted, while this waited.
+            self._give_slot_back()
+            self._check_suspect()
+            return
         server = self._server
         client = server.upstream.client
         assert self._ticket is not None
         if client is None:
-            self._phase = _Phase.RUNNING
-            self._finish_slot()
+            self._give_slot_back()
             self._refuse(RefusalReason.UPSTREAM_REFUSED)
             return
         self._phase = _Phase.RUNNING
--- a/packages/node/radishtray_node/_outgoing_call.py
+++ b/packages/node/radishtray_node/_outgoing_call.py
@@ -189,6 +189,8 @@
         request = self._request
         left_ms = int((self.deadline_s - self._sent_s) * 1000)
         key = self._key
+        known_crashes = self._router.crashes(self.fingerprint)
+        self._crashes = max(self._crashes, known_crashes)
         return wire.Call(
             attempt_id=0,
             service_name=self._kind.service,
@@ -225,13 +227,16 @@
             answer.queue_ms,
             reason=result.refusal,
         )
+        if result.crashed:
+            self._crashes += 1
+            router.note_crashes(self.fingerprint, self._crashes)
+        elif self._crashes and result.refusal is None:
+            router.note_crashes(self.fingerprint, 0)
         if self._is_done:
             return
         if result.refusal is None:
             self._finish(result)
             return
-        if result.crashed:
-            self._crashes += 1
         self._refused_there(result)
 
     def _refused_there(self, result: CallResult) -> None:
--- a/packages/node/radishtray_node/tests/test_call_chains.py
+++ b/packages/node/radishtray_node/tests/test_call_chains.py
@@ -160,6 +160,35 @@
     assert bench.b.counted(CANCELLED_QUEUED) == 0
 
 
+def test_a_crash_blocks_the_suspect_and_not_the_innocent() -> None:
+    """A request that crashes each upstream reaches two of four."""
+    bench = Bench(slots=2, nodes="bcde")
+    for node in bench.nodes:
+        crash = node.upstream.crash
+
+        def run(http: HttpRequest, crash: Any = crash) -> None:
+            if b"poison" in http.uri:
+                crash()
+            else:
+                network = bench.cluster.network
+                network.callLater(0.2, http.respond, 200, [], b"fine")
+
+        node.upstream.on_run = run
+    for number in range(8):
+        bench.caller.send("GET", f"/s/read?{number}")
+    bench.run()
+    bench.caller.send("GET", "/s/read?poison")
+    bench.run(2)
+    for _ in range(3):
+        bench.caller.send("GET", "/s/read?poison")
+        bench.run(1)
+    poisoned = [run for run in bench.all_runs() if "poison" in run]
+    innocent = [bench.caller.seen(n) for n in range(8)]
+    assert len(poisoned) == 2
+    assert set(innocent) == {"fine"}
+    assert bench.caller.seen(11) == "crash_suspect"
+
+
 # Retry budget of the entry, and whether answers are lost on the way.
 BUDGETS = [(0, False), (1, False), (3, False), (6, False), (6, True)]
 
--- a/packages/state/radishtray_state/_admission.py
+++ b/packages/state/radishtray_state/_admission.py
@@ -432,18 +432,19 @@
             return None
         return self._enqueue(ticket)
 
-    def finish(self, ticket: Ticket, service_s: float) -> None:
+    def finish(self, ticket: Ticket, service_s: float | None) -> None:
         """Frees the slot of a running ticket; safe to repeat.
 
         Args:
             ticket: A ticket that was run.
-            service_s: Seconds that it held the slot.
+            service_s: Seconds of its work; None if it gave the slot back.
         """
         if ticket._state != _RUNNING:
             return
         ticket._state = _DONE
         self._in_flight -= 1
-        self._service.add(ticket.kind, service_s)
+        if service_s is not None:
+            self._service.add(ticket.kind, service_s)
         self._dispatch()
 
     def cancel(self, ticket: Ticket) -> bool:
