--- a/packages/testing/radishtray_testing/key_simulation.py
+++ b/packages/testing/radishtray_testing/key_simulation.py
@@ -120,7 +120,7 @@
         """Returns simulated seconds."""
         return self._now
 
-    def callLater(  # noqa: N802
+    def callLater(
         self,
         delay: float,
         callable: Callable[..., Any],
@@ -136,7 +136,7 @@
         heapq.heappush(self._calls, (at, self._order, timer))
         return timer
 
-    def getDelayedCalls(self) -> list[IDelayedCall]:  # noqa: N802
+    def getDelayedCalls(self) -> list[IDelayedCall]:
         """Returns nothing; no code under test asks."""
         return []
 
@@ -197,7 +197,7 @@
         """Returns simulated seconds."""
         return float(self._reactor.seconds())
 
-    def callLater(  # noqa: N802
+    def callLater(
         self,
         delay: float,
         callable: Callable[..., Any],
@@ -208,7 +208,7 @@
         later = partial(callable, *args, **kwargs)
         return self._reactor.callLater(delay, self.run, later)
 
-    def getDelayedCalls(self) -> list[IDelayedCall]:  # noqa: N802
+    def getDelayedCalls(self) -> list[IDelayedCall]:
         """Returns nothing; no code under test asks."""
         return []
 
