--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -8,11 +8,13 @@
 from radishtray_node._metrics import Metrics
 from radishtray_node._peer_link import PeerLink, SendFailure, SentAttempt
 from radishtray_node._timers import TimerWheel
+from radishtray_node._unknown_outcomes import UnknownOutcomes
 from radishtray_node._upstream_server import UpstreamServer
 from radishtray_protocol import RequestKind, wire
 from radishtray_state import (
     Candidate,
     Clock,
+    CrashSuspect,
     CrashSuspects,
     KeyRouter,
     RefusalReason,
@@ -25,6 +27,7 @@
 _TABLE_PULL_TIMEOUT_S = 0.5
 _BLOCKED_CRASHES = 2
 _PULL_TARGETS = 3
+_SUSPECT_TIME_S = 60.0
 
 LinkFactory = Callable[[str], PeerLink | None]
 """Returns a link to a node id, or None if its address is not known."""
@@ -40,6 +43,7 @@
         keys: Routing of at-most-once keys.
         retry_policy: Decides about further attempts.
         metrics: Counters of this node.
+        unknown: Reports of unknown outcomes.
         generation: Generation of the configuration in force.
     """
 
@@ -62,6 +66,7 @@
         "retry_policy",
         "selector",
         "timers",
+        "unknown",
     )
 
     def __init__(
@@ -75,6 +80,7 @@
         suspects: CrashSuspects,
         server: UpstreamServer,
         metrics: Metrics,
+        unknown: UnknownOutcomes,
         link_factory: LinkFactory,
         retry_policy: RetryPolicy | None = None,
     ) -> None:
@@ -90,6 +96,7 @@
             suspects: Crash suspects known to this node.
             server: Serves calls that stay at this node.
             metrics: Counters of this node.
+            unknown: Receives reports of unknown outcomes.
             link_factory: Creates the link to a node.
             retry_policy: Decides about retries; the default policy if None.
         """
@@ -99,6 +106,7 @@
         self.selector = selector
         self.keys = keys
         self.metrics = metrics
+        self.unknown = unknown
         self.generation = 0
         self._throttle = RetryThrottle()
         self.retry_policy = retry_policy or RetryPolicy(rng, self._throttle)
@@ -143,6 +151,20 @@
             return host or RefusalReason.NO_UPSTREAM
         return self.selector.choose(service, rank, exclude)
 
+    def crashes(self, fingerprint: int) -> int:
+        """Returns how many crashes are known of a request's content."""
+        return self._suspects.crashes(fingerprint)
+
+    def note_crashes(self, fingerprint: int, crashes: int) -> None:
+        """Remembers what an answer said about a request's content.
+
+        Args:
+            fingerprint: Digest of the request.
+            crashes: Crashes known with this one; 0 after a whole answer.
+        """
+        news = CrashSuspect(fingerprint, crashes, _SUSPECT_TIME_S)
+        self._suspects.merge([news])
+
     def expected_s(self, kind: RequestKind) -> float:
         """Returns the expected duration of an attempt, in seconds."""
         del kind  # Retries are bounded by their deadline at the receiver.
