--- a/packages/testing/radishtray_testing/_reference_texts.py
+++ b/packages/testing/radishtray_testing/_reference_texts.py
@@ -93,7 +93,7 @@
 }  # fmt: skip
 
 CONNECTION_REASON_TEXTS: Final = {
-    "silent_connection": "No byte arrived for 1.5 s in spite of pings; the node reconnects.",
+    "silent_connection": "No reply to a ping for 0.8 s while attempts wait; the node reconnects.",
     "fenced": "The sender opened a newer connection, which replaces this one. The usual follower of `silent_connection` at the other node.",
     "duplicate_attempt": "An attempt arrived twice or out of turn and was ignored.",
     "handshake_timeout": "The peer did not authenticate within 5 s; it may be paused or overloaded.",
