Shorten long functions of radishtrayctl, the frame codec and the test processes

Cause: build_edit decided about four cases in one loop; _check_nested mixed calls with control frames; the two waits of LocalDeployment repeated one loop.

Change: each case is its own function; answers inside key records are now validated like those in attempt states. A process that ends before it is ready closes its log. Times in radishtrayctl have one format, with milliseconds.

Ruled out: one Setting class for node and radishtrayctl, since it would have to live in a package that both import and neither owns.

--- a/packages/ctl/radishtray_ctl/_config_commands.py
+++ b/packages/ctl/radishtray_ctl/_config_commands.py
@@ -7,7 +7,6 @@
 import uuid
 from argparse import ArgumentParser, Namespace
 from collections.abc import Awaitable, Callable
-from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
 
@@ -33,7 +32,7 @@
 from radishtray_ctl._errors import CommandError, ExitCode, findings_error
 from radishtray_ctl._files import check_files, read_files
 from radishtray_ctl._release_store import LoadedRelease, ReleaseStore
-from radishtray_ctl._report import Report
+from radishtray_ctl._report import Report, utc_text
 from radishtray_protocol import (
     Change,
     Release,
@@ -389,10 +388,9 @@
 
 
 def _change_line(change: Change) -> str:
-    moment = datetime.fromtimestamp(change.time_ms / 1000, UTC)
     parts = [
         f"{change.generation}",
-        moment.strftime("%Y-%m-%dT%H:%M:%SZ"),
+        utc_text(change.time_ms),
         change.author,
         ",".join(sorted(change.sections)),
         change.change_id,
--- a/packages/ctl/radishtray_ctl/_edits.py
+++ b/packages/ctl/radishtray_ctl/_edits.py
@@ -107,26 +107,16 @@
     current = release.sections if release else {}
     require_sections(remove, current, "the release")
     chosen = {n: t for n, t in found.items() if not only or n in only}
+    changed = {
+        name: text
+        for name, text in chosen.items()
+        if section_digest(text) != current.get(name)
+    }
+    stale = _untouched(changed, bases)
+    if len(chosen) > 1 and not only:
+        stale |= _earlier_versions(changed, bases, release)
     edited: dict[str, str | None] = dict.fromkeys(remove)
-    stale = []
-    for name, text in chosen.items():
-        digest = section_digest(text)
-        if digest == current.get(name):
-            continue
-        if name in bases:
-            is_stale = digest == bases[name]
-        else:
-            # A document of several sections may hold other teams' sections
-            # as they were; an earlier version there is no edit.
-            is_stale = (
-                len(chosen) > 1
-                and not only
-                and digest in _past_digests(release, name)
-            )
-        if is_stale:
-            stale.append(name)
-        else:
-            edited[name] = text
+    edited.update((n, t) for n, t in changed.items() if n not in stale)
     return Edit(
         edited,
         {name: digest for name, digest in bases.items() if name in edited},
@@ -140,6 +130,35 @@
     )
 
 
+def _untouched(
+    changed: Mapping[str, str], bases: Mapping[str, str | None]
+) -> set[str]:
+    """Returns the sections that are as the files started from."""
+    return {
+        name
+        for name, text in changed.items()
+        if name in bases and section_digest(text) == bases[name]
+    }
+
+
+def _earlier_versions(
+    changed: Mapping[str, str],
+    bases: Mapping[str, str | None],
+    release: Release | None,
+) -> set[str]:
+    """Returns the sections without a base that equal an earlier version.
+
+    A document of several sections may hold other teams' sections as they were;
+    an earlier version there is no edit.
+    """
+    return {
+        name
+        for name, text in changed.items()
+        if name not in bases
+        and section_digest(text) in _past_digests(release, name)
+    }
+
+
 def build_rollback(
     release: Release,
     texts: Mapping[str, str],
--- a/packages/ctl/radishtray_ctl/_node_status.py
+++ b/packages/ctl/radishtray_ctl/_node_status.py
@@ -2,11 +2,11 @@
 
 import json
 from collections.abc import Iterable
-from datetime import UTC, datetime
 from typing import Any
 
 from radishtray_ctl._arguments import NodeAddress
 from radishtray_ctl._errors import CommandError, ExitCode
+from radishtray_ctl._report import utc_text
 
 _OUTCOMES_KEY = "unknown_outcomes"
 
@@ -111,13 +111,7 @@
 
 
 def _time_text(wall_ms: Any) -> str:
-    if not isinstance(wall_ms, int):
-        return "-"
-    try:
-        time = datetime.fromtimestamp(wall_ms / 1000, UTC)
-    except (OverflowError, ValueError, OSError):
-        return str(wall_ms)
-    return time.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+    return utc_text(wall_ms) if isinstance(wall_ms, int) else "-"
 
 
 def _text(value: Any) -> str:
--- a/packages/ctl/radishtray_ctl/_release_store.py
+++ b/packages/ctl/radishtray_ctl/_release_store.py
@@ -4,7 +4,7 @@
 from typing import Any, NoReturn
 
 from expression import Result
-from twisted.internet.defer import gatherResults
+from twisted.internet.defer import FirstError, gatherResults
 
 from radishtray_ctl._errors import CommandError, ExitCode
 from radishtray_protocol import (
@@ -96,16 +96,17 @@
         Raises:
             CommandError: If a text is missing, altered or not readable.
         """
-        await gatherResults(
-            [
-                self._client.get(section_object(*key)).addCallback(
-                    self._keep_text, key
-                )
-                for key in sections.items()
-                if key not in self._texts
-            ],
-            consumeErrors=True,
-        ).addErrback(lambda failure: failure.value.subFailure)
+        reads = [
+            self._client.get(section_object(*key)).addCallback(
+                self._keep_text, key
+            )
+            for key in sections.items()
+            if key not in self._texts
+        ]
+        try:
+            await gatherResults(reads, consumeErrors=True)
+        except FirstError as error:
+            error.subFailure.raiseException()
         return {name: self._texts[name, sections[name]] for name in sections}
 
     def _keep_text(
--- a/packages/ctl/radishtray_ctl/_report.py
+++ b/packages/ctl/radishtray_ctl/_report.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterable
+from datetime import UTC, datetime
 from typing import Any, TextIO
 
 from radishtray_ctl._errors import CommandError, ExitCode
@@ -31,6 +32,22 @@
         self.exit_code = exit_code
 
 
+def utc_text(wall_ms: int) -> str:
+    """Returns a time in UTC, or the number if it is no time.
+
+    >>> utc_text(1500)
+    '1970-01-01T00:00:01.500Z'
+
+    Args:
+        wall_ms: Milliseconds since the Unix epoch.
+    """
+    try:
+        time = datetime.fromtimestamp(wall_ms / 1000, UTC)
+    except (OverflowError, ValueError, OSError):
+        return str(wall_ms)
+    return time.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+
+
 def print_report(report: Report, as_json: bool, output: TextIO) -> None:
     """Prints a result."""
     if as_json:
--- a/packages/protocol/radishtray_protocol/_frames.py
+++ b/packages/protocol/radishtray_protocol/_frames.py
@@ -1,8 +1,8 @@
 """Length-prefixed Thrift frames between nodes."""
 
 import struct
-from collections.abc import Callable
-from typing import TypeVar
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer, TTransportBase
@@ -168,38 +168,51 @@
         return frame
 
 
-_NESTED_FIELDS = tuple(
+_CONTROL_FIELDS = tuple(
     name for name in ttypes.Frame.__slots__ if name not in ("call", "answer")
 )
 
 
 def _check_nested(frame: "ttypes.Frame") -> None:
-    """Raises FrameError unless exactly one message with all fields is set."""
+    """Checks what Thrift does not: nested structs and the number of messages.
+
+    Raises:
+        FrameError: If a field is missing, or if a frame that is neither a call
+            nor an answer does not hold exactly one message.
+    """
     try:
         if frame.call is not None:
             frame.call.validate()
             frame.call.context.validate()
-            return
-        if frame.answer is not None:
+        elif frame.answer is not None:
             frame.answer.validate()
-            return
-        messages = [
-            message
-            for name in _NESTED_FIELDS
-            if (message := getattr(frame, name)) is not None
-        ]
-        if len(messages) != 1:
-            raise FrameError("malformed", 0, f"{len(messages)} messages set")
-        messages[0].validate()
-        states = frame.attempt_states
-        for state in states.states if states is not None else ():
-            state.validate()
-            if state.answer is not None:
-                state.answer.validate()
-        records = frame.key_records
-        for record in records.records if records is not None else ():
-            record.validate()
+        else:
+            _check_control(frame)
     except FrameError:
         raise
     except Exception as error:
         raise FrameError("malformed", 0, f"missing field: {error}") from error
+
+
+def _check_control(frame: "ttypes.Frame") -> None:
+    """Checks a frame that is neither a call nor an answer."""
+    messages = [
+        message
+        for name in _CONTROL_FIELDS
+        if (message := getattr(frame, name)) is not None
+    ]
+    if len(messages) != 1:
+        raise FrameError("malformed", 0, f"{len(messages)} messages set")
+    messages[0].validate()
+    if frame.attempt_states is not None:
+        _check_answered(frame.attempt_states.states)
+    elif frame.key_records is not None:
+        _check_answered(frame.key_records.records)
+
+
+def _check_answered(items: Iterable[Any]) -> None:
+    """Checks attempt states or key records, and the answers that they hold."""
+    for item in items:
+        item.validate()
+        if item.answer is not None:
+            item.answer.validate()
--- a/packages/testing/radishtray_testing/processes.py
+++ b/packages/testing/radishtray_testing/processes.py
@@ -8,6 +8,7 @@
 import sys
 import time
 import urllib.request
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +16,14 @@
 
 _READY_TIMEOUT_S = 30.0
 _STOP_TIMEOUT_S = 40.0
+_POLL_S = 0.1
+_FREE_PORTS = (
+    "caller-port",
+    "upstream-port",
+    "node-port",
+    "gossip-port",
+    "operator-port",
+)
 LOOPBACK = "127.0.0.1"
 
 
@@ -52,6 +61,7 @@
         line = self._process.stdout.readline()
         if not line:
             code = self._process.wait(timeout=_READY_TIMEOUT_S)
+            self.close()
             raise RuntimeError(
                 f"{name} ended with {code}; see {self._log.name}"
             )
@@ -110,26 +120,20 @@
         self.node_id = node_id
         self.failure_domain = failure_domain
         self._token = operator_token
+        settings = {
+            "node-id": node_id,
+            "failure-domain": failure_domain,
+            "address": LOOPBACK,
+            "caller-host": LOOPBACK,
+            "cluster-keys": cluster_keys,
+            "operator-token": operator_token,
+            "platform": f"http://{LOOPBACK}:{platform_port}",
+            **dict.fromkeys(_FREE_PORTS, "0"),
+        }
+        flags = [f"--{name}={value}" for name, value in settings.items()]
         super().__init__(
-            node_id,
-            [
-                "radishtray_node.main",
-                "--node-id", node_id,
-                "--failure-domain", failure_domain,
-                "--address", LOOPBACK,
-                "--caller-host", LOOPBACK,
-                "--cluster-keys", cluster_keys,
-                "--operator-token", operator_token,
-                "--platform", f"http://{LOOPBACK}:{platform_port}",
-                "--caller-port", "0",
-                "--upstream-port", "0",
-                "--node-port", "0",
-                "--gossip-port", "0",
-                "--operator-port", "0",
-                *extra,
-            ],
-            log_directory,
-        )  # fmt: skip
+            node_id, ["radishtray_node.main", *flags, *extra], log_directory
+        )
 
     def port(self, listener: str) -> int:
         """Returns the port of a listener."""
@@ -250,17 +254,14 @@
         Raises:
             TimeoutError: If that takes longer than the ready timeout.
         """
-        deadline = time.monotonic() + _READY_TIMEOUT_S
-        while time.monotonic() < deadline:
-            states = [node.status() for node in self.nodes.values()]
-            if all(
+        self._wait_for(
+            lambda states: all(
                 state["generation"] >= generation
                 and state["members_serving"] >= members
                 for state in states
-            ):
-                return
-            time.sleep(0.1)
-        raise TimeoutError(f"nodes are not ready: {states}")
+            ),
+            f"generation {generation} with {members} serving members",
+        )
 
     def wait_until_slots_are_owned(self, services: int) -> None:
         """Waits until all key slots of a number of services have owners.
@@ -268,15 +269,34 @@
         Raises:
             TimeoutError: If that takes longer than the ready timeout.
         """
-        deadline = time.monotonic() + _READY_TIMEOUT_S
-        owned = 0
-        while time.monotonic() < deadline:
+        wanted = services * SLOT_COUNT
+        self._wait_for(
+            lambda states: (
+                sum(state["key_slots_owned"] for state in states) >= wanted
+            ),
+            f"{wanted} owned key slots",
+        )
+
+    def _wait_for(
+        self, holds: Callable[[list[dict[str, Any]]], bool], goal: str
+    ) -> None:
+        """Waits until the statuses of all nodes meet a condition.
+
+        Args:
+            holds: The condition.
+            goal: What is waited for, for the message.
+
+        Raises:
+            TimeoutError: If that takes longer than the ready timeout.
+        """
+        deadline_s = time.monotonic() + _READY_TIMEOUT_S
+        while True:
             states = [node.status() for node in self.nodes.values()]
-            owned = sum(state["key_slots_owned"] for state in states)
-            if owned >= services * SLOT_COUNT:
+            if holds(states):
                 return
-            time.sleep(0.1)
-        raise TimeoutError(f"only {owned} key slots have owners")
+            if time.monotonic() >= deadline_s:
+                raise TimeoutError(f"not reached: {goal}; nodes: {states}")
+            time.sleep(_POLL_S)
 
     def close(self) -> None:
         """Ends all processes."""
