Answer and count every rejected HTTP input, in order

Cause: a 100 Continue was queued while the answer was written at once, so a request whose body came with its head got the answer first, and the client read the interim answer as that of its next request. A line of more than 16,384 bytes closed the connection without an answer or a count, whatever max-head-bytes said. A first line sent slowly was not timed as a request. Ruled out: an order that only the simulated transport has; with the previous writer a loopback socket also received the answer before the 100 Continue.

--- a/packages/testing/radishtray_testing/memory_network.py
+++ b/packages/testing/radishtray_testing/memory_network.py
@@ -6,6 +6,7 @@
 from twisted.internet.address import IPv4Address
 from twisted.internet.error import ConnectionDone, ConnectionRefusedError
 from twisted.internet.interfaces import IPushProducer, ITCPTransport
+from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 from zope.interface import implementer
@@ -187,6 +188,28 @@
         self._network.listening.pop(self._port, None)
 
 
+class RawConnection(Protocol):
+    """Keeps what a server sends.
+
+    Attributes:
+        received: All bytes so far.
+        is_closed: Whether the server has closed the connection.
+    """
+
+    def __init__(self) -> None:
+        """Starts without bytes."""
+        self.received = b""
+        self.is_closed = False
+
+    def dataReceived(self, data: bytes) -> None:
+        """Adds received bytes."""
+        self.received += data
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Notes the end."""
+        self.is_closed = True
+
+
 class MemoryNetwork(Clock):
     """A reactor with simulated time and TCP within the process.
 
@@ -245,6 +268,15 @@
         accepting.protocol.makeConnection(accepting)
         opening.protocol.makeConnection(opening)
 
+    def open(self, port: int) -> "RawConnection":
+        """Opens a connection whose bytes a test reads and writes."""
+        raw = RawConnection()
+        factory = Factory()
+        factory.buildProtocol = lambda _address: raw
+        self.connectTCP(_HOST, port, factory)
+        self.advance(0)
+        return raw
+
     def run(self, seconds: float) -> None:
         """Lets time pass in small steps."""
         for _ in range(round(seconds / _STEP_S)):
--- a/packages/transport/radishtray_transport/_http_server.py
+++ b/packages/transport/radishtray_transport/_http_server.py
@@ -15,6 +15,7 @@
 
 _LOG = logging.getLogger(__name__)
 _SWEEP_INTERVAL_S = 1.0
+_HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
 _DROPPED_ANSWER_HEADERS = frozenset(
     ("connection", "content-length", "transfer-encoding", "keep-alive")
 )
@@ -179,6 +180,7 @@
         self._server = server
         self.limits = server.limits
         self.handler = server.handler
+        self.MAX_LENGTH = server.limits.head_bytes
         self.totalHeadersSize = server.limits.head_bytes
         self.maxHeaders = server.limits.headers
         # One sweep of the server replaces a timer for each request.
@@ -209,20 +211,24 @@
 
     def check_time(self, now_s: float) -> None:
         """Closes a connection that is idle or sends a request too slowly."""
+        if not self.requests:
+            self._note_partial_line(now_s)
         since_s = self._receiving_since_s
         if since_s is not None and now_s - since_s > self.limits.request_s:
             self._receiving_since_s = None
-            self.count_rejected("slow_request")
-            self.transport.write(
-                b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
-                b"Content-Length: 0\r\n\r\n"
-            )
-            self.loseConnection()
+            self._reject(b"408 Request Timeout", "slow_request")
         elif not self.requests and (
             now_s - self._idle_since_s > self.limits.idle_s
         ):
             self.loseConnection()
 
+    def _note_partial_line(self, now_s: float) -> None:
+        """Times a first line, which begins before its request exists."""
+        if not self._buffer:
+            self._receiving_since_s = None
+        elif self._receiving_since_s is None:
+            self._receiving_since_s = now_s
+
     def count_rejected(self, reason: str) -> None:
         """Counts input that was rejected."""
         self._server.on_rejected(reason)
@@ -238,9 +244,29 @@
         self._server.closed(self)
         HTTPChannel.connectionLost(self, reason)
 
+    def _reject(self, status: bytes, reason: str) -> None:
+        self.count_rejected(reason)
+        self.writer.write(
+            b"HTTP/1.1 " + status + b"\r\nConnection: close\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        self.loseConnection()
+
+    def _send100Continue(self) -> None:
+        # The base class queues these bytes; the answer would overtake them.
+        self.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _respondToBadRequestAndDisconnect(self) -> None:
-        self.count_rejected("malformed_request")
-        HTTPChannel._respondToBadRequestAndDisconnect(self)
+        if (
+            self._receivedHeaderSize > self.totalHeadersSize
+            or self._receivedHeaderCount > self.maxHeaders
+        ):
+            self._reject(_HEAD_TOO_LARGE, "head_too_large")
+        else:
+            self._reject(b"400 Bad Request", "malformed_request")
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        self._reject(_HEAD_TOO_LARGE, "head_too_large")
 
     def close_when_idle(self) -> None:
         """Closes now, or after the answer of the request in progress."""
