Test the frame decoder against damage

Cause: nothing showed that a damaged stream ends in the typed error. Change: frames split in any way, a table of faults, and fuzzed damage. Trials: without the check of a call's context, context_without_budget fails; without the check for one message, two_messages fails. Ruled out: accepting a frame of two messages as the first one.

--- /dev/null
+++ b/packages/protocol/radishtray_protocol/tests/test_frames.py
@@ -0,0 +1,164 @@
+"""Guards against frames that are read partly, wrongly or without an error."""
+
+import contextlib
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishtray_protocol import (
+    FrameDecoder,
+    FrameError,
+    encode_frame,
+    encode_struct,
+    wire,
+)
+
+CONTEXT = wire.Context(
+    request_id=b"r" * 16,
+    priority_class=1,
+    level=5,
+    deadline_ms=100,
+    retry_budget=3,
+    depth=1,
+    key_first_send=False,
+    fingerprint=7,
+    crash_count=0,
+)
+
+
+def call(**fields: object) -> wire.Call:
+    defaults: dict[str, object] = {
+        "attempt_id": 1,
+        "service_name": "s",
+        "kind": "k",
+        "method": "GET",
+        "path": "/",
+        "headers": ["a", "b"],
+        "body": b"body",
+        "context": CONTEXT,
+        "generation": 1,
+    }
+    return wire.Call(**defaults | fields)
+
+
+def answer() -> wire.Answer:
+    return wire.Answer(
+        attempt_id=1,
+        status=200,
+        headers=["a", "b"],
+        body=b"whole",
+        retries_used=0,
+        threshold=0,
+        queue_ms=0,
+        in_flight=1,
+    )
+
+
+FRAMES = [
+    wire.Frame(call=call()),
+    wire.Frame(answer=answer()),
+    wire.Frame(ping=wire.Ping(sequence=3)),
+    wire.Frame(cancel=wire.Cancel(attempt_id=4)),
+    wire.Frame(attempt_query=wire.AttemptQuery(attempt_ids=[1, 2])),
+]
+STREAM = b"".join(encode_frame(frame) for frame in FRAMES)
+
+
+def decode(data: bytes, parts: int = 1, limit: int = 4096) -> list[wire.Frame]:
+    decoder = FrameDecoder(limit)
+    found: list[wire.Frame] = []
+    size = max(1, -(-len(data) // parts))
+    for start in range(0, len(data), size):
+        decoder.feed(data[start : start + size], found.append)
+    return found
+
+
+@pytest.mark.parametrize("parts", [1, 2, 7, len(STREAM)])
+def test_frames_do_not_depend_on_how_the_stream_is_split(parts: int) -> None:
+    assert decode(STREAM, parts) == FRAMES
+
+
+def prefixed(data: bytes) -> bytes:
+    return len(data).to_bytes(4, "big") + data
+
+
+# Name: bytes after one good frame, reason of the error.
+FAULTS = {
+    "oversized": (b"\x00\x00\x10\x01", "oversized"),
+    "negative_length": (b"\xff\xff\xff\xff", "oversized"),
+    "empty": (prefixed(b""), "malformed"),
+    "no_message": (prefixed(b"\x00"), "malformed"),
+    "two_messages": (
+        encode_frame(
+            wire.Frame(ping=wire.Ping(sequence=1), pong=wire.Pong(sequence=1))
+        ),
+        "malformed",
+    ),
+    "call_without_context": (
+        encode_frame(wire.Frame(call=call(context=None))),
+        "malformed",
+    ),
+    "context_without_budget": (
+        encode_frame(
+            wire.Frame(call=call(context=wire.Context(request_id=b"r")))
+        ),
+        "malformed",
+    ),
+    "truncated_struct": (
+        prefixed(encode_struct(FRAMES[1])[:-9]),
+        "malformed",
+    ),
+}
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_a_bad_frame_is_an_error_at_its_place(name: str) -> None:
+    data, reason = FAULTS[name]
+    good = encode_frame(FRAMES[0])
+    with pytest.raises(FrameError) as caught:
+        decode(good + data)
+    assert (caught.value.reason, caught.value.offset) == (reason, len(good))
+
+
+@settings(deadline=None, max_examples=500, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, len(STREAM) - 1), st.integers(0, 255)),
+        max_size=4,
+    ),
+    st.integers(0, len(STREAM)),
+    st.integers(1, 9),
+)
+def test_damage_gives_whole_messages_or_the_typed_error(
+    damage: list[tuple[int, int]], length: int, parts: int
+) -> None:
+    data = bytearray(STREAM)
+    for at, value in damage:
+        data[at] = value
+    found: list[wire.Frame] = []
+    decoder = FrameDecoder(4096)
+    with contextlib.suppress(FrameError):
+        decoder.feed(bytes(data[:length]), found.append)
+    for frame in found:
+        messages = [
+            getattr(frame, name)
+            for name in wire.Frame.__slots__
+            if getattr(frame, name) is not None
+        ]
+        assert messages, "a frame without a message"
+        for message in messages:
+            message.validate()
+    if not damage:
+        assert found == FRAMES[: len(found)]
+    assert decode(STREAM[:length], parts) == decode(STREAM[:length])
+
+
+@settings(deadline=None, max_examples=300, derandomize=True)
+@given(st.binary(max_size=60))
+def test_any_bytes_give_only_the_typed_error(data: bytes) -> None:
+    for text in (data, prefixed(data)):
+        try:
+            decode(text)
+        except FrameError:
+            continue
