Claim free slots before rebalancing and measure platform calls

Change: rebalance() gives nothing while a slot is free. key_slopes counts platform calls by phase. New test that operations run when clocks are right; it guards against safety by refusing everything. Ruled out: a longer start spread, which would only hide the repeated writes.

--- a/packages/state/radishtray_state/_key_slots.py
+++ b/packages/state/radishtray_state/_key_slots.py
@@ -212,6 +212,9 @@
     Returns:
         The next table.
     """
+    if any(_free_from(slot, now_ms) is not None for slot in table.slots):
+        # Members with few slots can claim those first.
+        return table
     counts = {member: table.owned_count(member) for member in members}
     counts.pop(me, None)
     slots = list(table.slots)
--- a/packages/testing/radishtray_testing/key_simulation.py
+++ b/packages/testing/radishtray_testing/key_simulation.py
@@ -633,7 +633,7 @@
             for _ in range(2):
                 delay = self.rng.choice((0, 0.05, 1, 5))
                 fault = self.rng.choice(kinds)
-                self.reactor.callLater(at + delay, fault)
+                self.reactor.callLater(at + delay, self._break, fault)
 
     def check(self) -> list[Violation]:
         """Runs to the end and checks the history."""
@@ -734,6 +734,11 @@
                 proof = partial(peer.driver.proven_dead, dead)
                 self.message(sender, peer, proof)
 
+    def _break(self, fault: Callable[[], None]) -> None:
+        """Applies a fault, unless no process is left."""
+        if self.running():
+            fault()
+
     def _any_node(self) -> Node:
         return self.rng.choice(self.running())
 
--- a/packages/testing/radishtray_testing/key_slopes.py
+++ b/packages/testing/radishtray_testing/key_slopes.py
@@ -4,6 +4,7 @@
 """
 
 import argparse
+import logging
 import platform
 import subprocess
 import sys
@@ -13,6 +14,9 @@
 from random import Random
 from typing import Final
 
+from twisted.internet.defer import succeed
+
+from radishtray_coordination import SlotDriver
 from radishtray_protocol import decode_slot_table, encode_slot_table
 from radishtray_state import (
     KeyBounds,
@@ -27,11 +31,18 @@
     hand_over,
     rebalance,
 )
+from radishtray_testing.key_simulation import NodeClock, Reactor
+from radishtray_testing.memory_platform import (
+    MemoryClient,
+    MemoryPlatform,
+    is_missing,
+)
 
 _OFFERS: Final = 50_000
 _COUNTS: Final = (1_000, 10_000, 50_000)
 _ROUNDS: Final = 5
 _SERVICE_OWNERS: Final = 33
+_SERVICES: Final = 130
 _ANSWER_BYTES: Final = 300
 _NO_BOUND: Final = KeyBounds(max_records=1 << 30, max_bytes=1 << 40)
 
@@ -41,6 +52,7 @@
     parser = argparse.ArgumentParser(prog="radishtray_testing.key_slopes")
     parser.add_argument("--seed", type=int, default=1, help="of the keys")
     seed = parser.parse_args(arguments).seed
+    logging.disable(logging.CRITICAL)
     print("# Key owners: time, memory and table size\n")
     print(f"Command: `python -m radishtray_testing.key_slopes --seed {seed}`")
     print(f"Commit: {_commit()}; Python {platform.python_version()}, ")
@@ -48,6 +60,7 @@
     _print_offers(seed)
     _print_memory(seed)
     _print_tables(seed)
+    _print_calls(seed)
     return 0
 
 
@@ -155,6 +168,90 @@
     return (time.process_time_ns() - started) / 1000 / 200
 
 
+def _print_calls(seed: int) -> None:
+    print(f"\n## Platform calls of {_SERVICE_OWNERS} owners of one service\n")
+    print(f"Simulated time. The last column is scaled to {_SERVICES} services")
+    print(
+        "that do the same in the same second; the peak is the busiest second."
+    )
+    print("\n| phase | reads | writes | peak calls/s | all services, calls/s |")
+    print("|---|---|---|---|---|")
+    service = _Service(seed)
+    service.print_phase("all owners start, 60 s", 60)
+    service.print_phase("next 2 h", 7_200)
+    service.restart()
+    service.print_phase("one owner leaves and comes back, 15 min", 900)
+    service.platform.down = True
+    service.print_phase("platform down, 30 min", 1_800)
+    service.platform.down = False
+    service.print_phase("platform back, 60 s", 60)
+
+
+class _Service:
+    """All owners of one service on simulated time."""
+
+    def __init__(self, seed: int) -> None:
+        self._rng = Random(seed)
+        self._reactor = Reactor()
+        self._clock = NodeClock(self._reactor, 0)
+        self.platform = MemoryPlatform(self._reactor, self._rng)
+        self._drivers: dict[SlotOwner, SlotDriver] = {}
+        for number in range(_SERVICE_OWNERS):
+            self._drivers[SlotOwner(f"vm-{number:04}", 1)] = self._driver(
+                SlotOwner(f"vm-{number:04}", 1)
+            )
+        for driver in self._drivers.values():
+            driver.start()
+
+    def print_phase(self, name: str, seconds: int) -> None:
+        """Lets time pass and prints the calls of this phase."""
+        platform, peak = self.platform, 0
+        reads, writes = platform.reads, platform.writes
+        for _ in range(seconds):
+            before = platform.reads + platform.writes
+            self._reactor.run_until(self._reactor.seconds() + 1)
+            peak = max(peak, platform.reads + platform.writes - before)
+        reads, writes = platform.reads - reads, platform.writes - writes
+        mean = (reads + writes) / seconds * _SERVICES
+        print(
+            f"| {name} | {reads} | {writes} | {peak} | mean {mean:.0f}, "
+            f"peak {peak * _SERVICES} |"
+        )
+
+    def restart(self) -> None:
+        """Stops one owner gracefully and starts it again 20 s later."""
+        leaving = min(self._drivers)
+        driver = self._drivers.pop(leaving)
+        driver.leave(succeed(None))
+        newer = SlotOwner(leaving.node_id, leaving.incarnation + 1)
+        self._reactor.callLater(20, self._join, newer)
+
+    def _join(self, newer: SlotOwner) -> None:
+        self._drivers[newer] = self._driver(newer)
+        self._drivers[newer].start()
+        for driver in self._drivers.values():
+            driver.members_changed()
+
+    def _driver(self, me: SlotOwner) -> SlotDriver:
+        return SlotDriver(
+            MemoryClient(self.platform),
+            self._clock,
+            self._rng,
+            reactor=self._reactor,
+            service="s",
+            owner=KeyOwner(me.node_id, me.incarnation, self._clock),
+            members=lambda: list(self._drivers),
+            is_missing=is_missing,
+            send_records=lambda *_: succeed(None),
+            push_table=self._push,
+            on_table=lambda *_: None,
+        )
+
+    def _push(self, to: SlotOwner, version: int, table: SlotTable) -> None:
+        if to in self._drivers:
+            self._drivers[to].receive_table(version, table)
+
+
 def _balanced(now_ms: int) -> SlotTable:
     """Returns the table after 33 owners joined one by one."""
     members: list[SlotOwner] = []
--- a/packages/testing/radishtray_testing/tests/test_history.py
+++ b/packages/testing/radishtray_testing/tests/test_history.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from radishtray_testing import key_simulation
 from radishtray_testing.history import (
     Body,
     Effect,
@@ -83,6 +84,32 @@
     assert violations(seed) == []
 
 
+CALM = {
+    # Name: pairs of faults, kind of fault, least share of operations that run.
+    "no fault": (0, "kill", 0.95),
+    "platform outages": (10, "platform_outage", 0.95),
+    "planned stops": (2, "planned_stop", 0.9),
+}
+
+
+@pytest.mark.parametrize(("pairs", "fault", "share"), CALM.values(), ids=CALM)
+def test_operations_run_when_clocks_are_right(
+    monkeypatch: pytest.MonkeyPatch, pairs: int, fault: str, share: float
+) -> None:
+    """Guards against safety that is bought by refusing everything."""
+    monkeypatch.setattr(key_simulation, "_FAULTS", pairs)
+    monkeypatch.setattr(key_simulation, "_NODE_CLOCK_S", 1)
+    monkeypatch.setattr(key_simulation, "_CALLER_CLOCKS_S", (0,))
+    with key_simulation.shortened_times():
+        world = key_simulation.Simulation(1, [fault])
+        assert world.check() == []
+    sends = {e.send_id: e for e in world.events if isinstance(e, Send)}
+    wanted = {s.operation for s in sends.values() if s.operation > 0}
+    effects = [e for e in world.events if isinstance(e, Effect)]
+    run = {sends[e.send_id].operation for e in effects}
+    assert len(run & wanted) > share * len(wanted)
+
+
 @pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda m: m.name)
 def test_checker_notices_a_removed_mechanism(mutation: Mutation) -> None:
     assert caught_by(mutation, range(30)) is not None
