Replace the polled directory by gossip membership and generation pulls

Cause: the interim directory read every node's record at every node each second. Change: Fleet joins the gossip socket, membership, configuration, collector and crash suspects; a newer incarnation at the same address is asked for a handshake and then replaces the earlier owner of key slots.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -11,8 +11,8 @@
 
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
-from radishtray_node._directory import Directory
 from radishtray_node._entry import Entry
+from radishtray_node._fleet import Fleet
 from radishtray_node._local_upstream import LocalUpstream
 from radishtray_node._metrics import Metrics
 from radishtray_node._node_server import NodeServer
@@ -28,7 +28,6 @@
 from radishtray_node._upstream_server import UpstreamServer
 from radishtray_protocol import Document, wire
 from radishtray_state import (
-    Candidate,
     Clock,
     CrashSuspects,
     KeyOwner,
@@ -74,18 +73,19 @@
 
     __slots__ = (
         "_caller_listener",
-        "_directory",
         "_document",
         "_drained",
         "_entry",
+        "_fleet",
         "_is_draining",
         "_links",
         "_loops",
-        "_members",
         "_node_listener",
         "_node_server",
         "_operator_listener",
         "_reactor",
+        "_replaced",
+        "_rng",
         "_running",
         "_slots",
         "_stopped",
@@ -97,7 +97,6 @@
         "identity",
         "key_owner",
         "metrics",
-        "node_addresses",
         "router",
         "server",
         "settings",
@@ -116,7 +115,6 @@
         self.clock: Clock = SystemClock()
         self.identity = NodeIdentity(settings.node_id, self.clock.wall_ms())
         self.metrics = Metrics()
-        self.node_addresses: dict[str, tuple[str, int]] = {}
         self._reactor = reactor
         self._document: Document | None = None
         self._is_draining = False
@@ -181,11 +179,12 @@
             self.key_owner,
             self.router.keys,
             self._slot_members,
-            self._send_control,
+            self.send_control,
             self.router.slot_table_refreshed,
         )
-        self._directory = Directory(self, self._store)
-        self._members: dict[str, dict[str, Any]] = {}
+        self._rng = rng
+        self._replaced: dict[str, SlotOwner] = {}
+        self._fleet: Fleet | None = None
         self._build_listeners()
         self._loops = [
             (LoopingCall(self.server.expire), _EXPIRE_INTERVAL_S),
@@ -249,13 +248,40 @@
         for loop, interval_s in self._loops:
             loop.clock = self._reactor
             loop.start(interval_s, now=False)
-        self._directory.start()
+        self._fleet = self._join_fleet()
+        self._fleet.start()
         _LOG.info("node started", extra={"ports": self.ports()})
         # What exists now lives as long as the process; later collections need
         # not visit it.
         gc.collect()
         gc.freeze()
 
+    def _join_fleet(self) -> Fleet:
+        """Opens the gossip socket; the node listener must be open."""
+        settings = self.settings
+        return Fleet(
+            self._reactor,
+            self.clock,
+            self._rng,
+            identity=self.identity,
+            failure_domain=settings.failure_domain,
+            node_address=f"{settings.address}:{self._node_listener.port}",
+            gossip_host=settings.address,
+            gossip_port=settings.gossip_port,
+            keys=settings.cluster_keys,
+            seeds=settings.seeds,
+            store=self._store,
+            suspects=self.suspects,
+            events=self,
+        )
+
+    @property
+    def fleet(self) -> Fleet:
+        """This node among the others; only after `start`."""
+        if self._fleet is None:
+            raise RuntimeError("the node has not been started")
+        return self._fleet
+
     def ports(self) -> dict[str, int]:
         """Returns the ports of the TCP listeners by name."""
         return {
@@ -268,7 +294,7 @@
     def _current(self) -> Document | None:
         return self._document
 
-    def apply_document(self, document: Document, generation: int) -> None:
+    def document_changed(self, document: Document, generation: int) -> None:
         """Puts a newer generation of the configuration in force."""
         if generation <= self.router.generation:
             return
@@ -276,12 +302,35 @@
         self.router.generation = generation
         _LOG.info("configuration applied", extra={"generation": generation})
 
-    def set_candidates(self, service: str, nodes: list[Candidate]) -> None:
-        """Replaces the nodes that serve a service."""
-        self.router.set_candidates(service, nodes)
+    def service_changed(self, service: str) -> None:
+        """Takes over the nodes that serve a service."""
+        self.router.set_candidates(service, self.fleet.candidates(service))
+        self._slots.members_changed(service)
+
+    def node_gone(self, node_id: str) -> None:
+        """Closes the link to a node that died, left or moved."""
+        self.router.forget(node_id)
+
+    def process_replaced(
+        self, service: str, dead: SlotOwner, node_id: str
+    ) -> None:
+        """Asks the new process for a handshake, which proves the old dead."""
+        if service and service == self._slots.service:
+            pull = wire.SlotTablePull(service_name=service)
+            self._replaced[node_id] = dead
+            self.send_control(node_id, wire.Frame(slot_table_pull=pull))
+
+    def _peer_verified(self, node_id: str, incarnation: int) -> None:
+        dead = self._replaced.pop(node_id, None)
+        if dead is not None and incarnation > dead.incarnation:
+            self._slots.proven_dead(self._slots.service, dead)
+
+    def send_control(self, node_id: str, frame: wire.Frame) -> bool:
+        """Sends a control frame; False if the node has no address."""
+        return self.router.send_control(node_id, frame)
 
     def _link_to(self, node_id: str) -> PeerLink | None:
-        address = self.node_addresses.get(node_id)
+        address = self.fleet.node_address(node_id)
         if address is None:
             return None
         return PeerLink(
@@ -290,79 +339,33 @@
             address,
             self.identity,
             self.settings.cluster_keys,
-            self._reply_received,
+            lambda frame: self._reply_received(node_id, frame),
+            self._peer_verified,
             lambda reason: self.metrics.connections.labels(reason).inc(),
         )
 
     def _is_owner_alive(self, owner: SlotOwner) -> bool:
-        record = self._members.get(owner.node_id)
-        return record is not None and (
-            record["incarnation"] == owner.incarnation
-        )
+        return self.fleet.is_alive(owner)
 
     def _key_not_owned(self) -> None:
         self._slots.refresh()
 
     def _slot_members(self, service: str) -> list[SlotOwner]:
-        return [
-            SlotOwner(record["node_id"], record["incarnation"])
-            for record in self._members.values()
-            if record["service"] == service and record["serving"]
-        ]
-
-    def own_record(self) -> dict[str, Any]:
-        """Returns what other nodes need to know of this one."""
-        announcement = self.upstream.announcement
-        port = self._node_listener.port
-        return {
-            "node_id": self.identity.node_id,
-            "incarnation": self.identity.incarnation,
-            "failure_domain": self.settings.failure_domain,
-            "node_address": f"{self.settings.address}:{port}",
-            "service": self.upstream.service,
-            "slots": announcement.slots if announcement else 0,
-            "serving": announcement is not None and not self._is_draining,
-        }
-
-    def members_read(self, records: list[dict[str, Any]]) -> None:
-        """Takes the records of all nodes."""
-        found = {record["node_id"]: record for record in records}
-        if found == self._members:
-            return
-        services = {
-            record["service"]
-            for record in [*found.values(), *self._members.values()]
-        }
-        for node_id, record in found.items():
-            host, _, port = record["node_address"].rpartition(":")
-            address = (host, int(port))
-            if self.node_addresses.get(node_id, address) != address:
-                self.router.forget(node_id)
-            self.node_addresses[node_id] = address
-        self._members = found
-        for service in services - {""}:
-            self.router.set_candidates(service, self._candidates(service))
-            self._slots.members_changed(service)
-
-    def _candidates(self, service: str) -> list[Candidate]:
-        return [
-            Candidate(
-                record["node_id"], record["failure_domain"], record["slots"]
-            )
-            for record in self._members.values()
-            if record["service"] == service and record["serving"]
-        ]
+        return self.fleet.slot_members(service)
 
     def _upstream_changed(self) -> None:
-        """Takes up the slots of the upstream's service."""
-        self._slots.serve(self.upstream.service)
+        """Tells the others about the upstream and takes up its slots."""
+        announcement = self.upstream.announcement
+        service = self.upstream.service
+        slots = announcement.slots if announcement else 0
+        self.fleet.announce(service, slots, announcement is not None)
+        if service:
+            self.service_changed(service)
+        self._slots.serve(service)
 
     def _upstream_crashed(self) -> None:
         self.server.upstream_crashed()
 
-    def _send_control(self, node_id: str, frame: wire.Frame) -> bool:
-        return self.router.send_control(node_id, frame)
-
     def _control_received(
         self, connection: NodeConnection, frame: wire.Frame
     ) -> None:
@@ -375,13 +378,17 @@
             self._slots.table_received(frame.slot_table_push)
         elif frame.key_records is not None:
             connection.send(self._slots.records_received(frame.key_records))
+        elif frame.release_pull is not None:
+            connection.send(self.fleet.release_pulled(frame.release_pull))
 
-    def _reply_received(self, frame: wire.Frame) -> None:
-        """Takes the reply to a control frame."""
+    def _reply_received(self, node_id: str, frame: wire.Frame) -> None:
+        """Takes the reply of a node to a control frame."""
         if frame.slot_table_push is not None:
             self._slots.table_received(frame.slot_table_push)
         elif frame.key_records_ack is not None:
             self._slots.records_acknowledged(frame.key_records_ack)
+        elif frame.release_push is not None:
+            self.fleet.release_received(node_id, frame.release_push)
 
     def reload_keys(self) -> None:
         """Reads the cluster keys file again."""
@@ -415,10 +422,13 @@
             "service": self.upstream.service,
             "generation": self.router.generation,
             "draining": self._is_draining,
-            "members": len(self._members),
+            "members": self.fleet.membership.live_count,
             "members_serving": sum(
-                record["serving"] for record in self._members.values()
+                member.takes_requests
+                for member in self.fleet.membership.members()
             ),
+            "roles": list(self.fleet.held_roles),
+            "control_bytes": self.fleet.control_bytes,
             "key_slots_owned": self._slots.owned_count,
             "in_flight": admission.in_flight,
             "queued": admission.queued,
@@ -436,6 +446,7 @@
         self.server.is_draining = True
         self._entry.is_draining = True
         self.key_owner.stop_accepting()
+        self.fleet.drain()
         self._drained: Deferred[None] = Deferred()
         left = self._slots.leave(self._drained)
         left.addBoth(lambda _: self.close())
@@ -468,7 +479,9 @@
             if loop.running:
                 loop.stop()
         self._slots.close()
-        self._directory.close()
+        if self._fleet is not None:
+            self._fleet.close()
+        self._store.close()
         self._caller_listener.close()
         self._upstream_listener.close()
         self._operator_listener.close()
--- a/packages/node/radishtray_node/_object_store.py
+++ b/packages/node/radishtray_node/_object_store.py
@@ -51,6 +51,16 @@
     return Ok(int(result.ok))
 
 
+def _numbered_list(result: "Result[Any, Any]") -> "Result[Any, Any]":
+    return result.map(
+        lambda items: [
+            NumberedObject(item.name, int(item.version), b"")
+            for item in items
+            if item.version.isdigit()
+        ]
+    )
+
+
 def _text(version: int | None) -> str:
     return ABSENT_VERSION if version is None else str(version)
 
@@ -89,7 +99,7 @@
 
     def list(self, prefix: str) -> "Deferred[Result[Any, Any]]":
         """Lists names and versions."""
-        return self._client.list(prefix)
+        return self._client.list(prefix).addCallback(_numbered_list)
 
     def close(self) -> None:
         """Closes all connections."""
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -96,6 +96,7 @@
         "_last_sent_s",
         "_on_control",
         "_on_rejected",
+        "_on_verified",
         "_opening_since_s",
         "_outstanding",
         "_ping_sequence",
@@ -115,6 +116,7 @@
         identity: NodeIdentity,
         signer: Signer,
         on_control: Callable[[wire.Frame], None],
+        on_verified: Callable[[str, int], None],
         on_rejected: Callable[[str], None],
     ) -> None:
         """Prepares a link; it connects with the first frame.
@@ -126,6 +128,8 @@
             identity: This node.
             signer: Cluster keys.
             on_control: Receives frames other than answers.
+            on_verified: Called with the peer's node id and incarnation after
+                each handshake.
             on_rejected: Called with the reason of each rejected connection.
         """
         self.address = address
@@ -135,6 +139,7 @@
         self._signer = signer
         self._on_control = on_control
         self._on_rejected = on_rejected
+        self._on_verified = on_verified
         self._outstanding: OutstandingAttempts[SentAttempt, wire.Answer] = (
             OutstandingAttempts()
         )
@@ -286,6 +291,7 @@
         if reopened.query:
             query = wire.AttemptQuery(attempt_ids=reopened.query)
             connection.send(wire.Frame(attempt_query=query))
+        self._on_verified(connection.peer.node_id, connection.peer.incarnation)
         waiting = self._waiting
         self._waiting = []
         for item in waiting:
