--- a/packages/testing/radishtray_testing/node_builders.py
+++ b/packages/testing/radishtray_testing/node_builders.py
@@ -278,6 +278,7 @@
             self.identity,
             self.signer,
             self.on_control.append,
+            lambda _node_id, _incarnation: None,
             lambda reason: self.metrics.connections.labels(reason).inc(),
         )
         self.links[node_id] = link
