--- /dev/null
+++ b/packages/protocol/radishtray_protocol/_coordination_objects.py
@@ -0,0 +1,86 @@
+"""Platform objects `seeds/<failure domain>` and `leases/<role>`."""
+
+import json
+from collections.abc import Iterable
+from typing import Any, Final
+
+from expression import Error, Ok, Result
+
+SEEDS_PREFIX: Final = "seeds/"
+MAX_SEEDS: Final = 8
+_MAX_TEXT_CHARS: Final = 64
+
+
+def seeds_object(failure_domain: str) -> str:
+    """Returns the name of a failure domain's seeds object."""
+    return f"{SEEDS_PREFIX}{failure_domain}"
+
+
+def lease_object(role: str) -> str:
+    """Returns the name of a role's lease object."""
+    return f"leases/{role}"
+
+
+def encode_seeds(addresses: Iterable[str]) -> bytes:
+    """Returns the JSON text of up to 8 gossip addresses.
+
+    >>> encode_seeds(["10.0.0.1:7401"])
+    b'{"addresses":["10.0.0.1:7401"]}'
+    """
+    listed = list(addresses)[:MAX_SEEDS]
+    return json.dumps({"addresses": listed}, separators=(",", ":")).encode()
+
+
+def decode_seeds(data: bytes) -> Result[tuple[str, ...], str]:
+    """Parses a seeds object; the error states the place of the fault."""
+    parsed = _parse(data, ("addresses",))
+    if parsed.is_error():
+        return Error(parsed.error)
+    addresses = parsed.ok["addresses"]
+    if not isinstance(addresses, list) or len(addresses) > MAX_SEEDS:
+        return Error(f"addresses: expected a list of at most {MAX_SEEDS}")
+    for index, address in enumerate(addresses):
+        if not _is_address(address):
+            return Error(f"addresses.{index}: expected ip:port")
+    return Ok(tuple(addresses))
+
+
+def encode_lease(holder: str, incarnation: int, term: int) -> bytes:
+    """Returns the JSON text of a lease; an empty holder released it."""
+    content = {"holder": holder, "incarnation": incarnation, "term": term}
+    return json.dumps(content, separators=(",", ":")).encode()
+
+
+def decode_lease(data: bytes) -> Result[tuple[str, int, int], str]:
+    """Parses a lease into holder, incarnation and term."""
+    parsed = _parse(data, ("holder", "incarnation", "term"))
+    if parsed.is_error():
+        return Error(parsed.error)
+    content = parsed.ok
+    if not _is_text(content["holder"]):
+        return Error("holder: expected a text of at most 64 characters")
+    for key in ("incarnation", "term"):
+        if type(content[key]) is not int or content[key] < 0:
+            return Error(f"{key}: expected a number from 0")
+    return Ok((content["holder"], content["incarnation"], content["term"]))
+
+
+def _parse(data: bytes, keys: tuple[str, ...]) -> Result[dict[str, Any], str]:
+    try:
+        content = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        return Error(f"not JSON: {error}")
+    if not isinstance(content, dict) or set(content) != set(keys):
+        return Error(f"expected the keys {', '.join(keys)}")
+    return Ok(content)
+
+
+def _is_text(value: object) -> bool:
+    return isinstance(value, str) and len(value) <= _MAX_TEXT_CHARS
+
+
+def _is_address(value: object) -> bool:
+    if not isinstance(value, str) or len(value) > _MAX_TEXT_CHARS:
+        return False
+    host, _, port = value.rpartition(":")
+    return bool(host) and port.isdecimal() and port.isascii()
--- a/packages/state/radishtray_state/_lease.py
+++ b/packages/state/radishtray_state/_lease.py
@@ -11,7 +11,7 @@
     """Content of the object `leases/<role>`."""
 
     holder: str
-    """Node id of the holder."""
+    """Node id of the holder; empty once the holder released the lease."""
 
     incarnation: int
     """Incarnation of the holder."""
@@ -100,7 +100,7 @@
         self._known = False
         self._record: LeaseRecord | None = None
         self._version: int | None = None
-        self._unchanged_since = 0.0
+        self._unchanged_since: float | None = None
         self._read_at = 0.0
         self._renewed_at: float | None = None
         self._write: tuple[float, LeaseRecord] | None = None
@@ -108,9 +108,15 @@
     @property
     def holds(self) -> bool:
         """Whether the role may be exercised now."""
+        return self.remaining_s > 0
+
+    @property
+    def remaining_s(self) -> float:
+        """Seconds for which the role may still be exercised; 0 if it is not."""
         if self._renewed_at is None:
-            return False
-        return self._clock.monotonic() < self._renewed_at + self._lease_s
+            return 0.0
+        end = self._renewed_at + self._lease_s
+        return max(0.0, end - self._clock.monotonic())
 
     @property
     def version(self) -> int | None:
@@ -132,8 +138,9 @@
             raise ValueError("a lease has a version exactly if it exists")
         now = self._clock.monotonic()
         self._read_at = now
-        changed = not self._known or version != self._version
-        if changed:
+        # A renewal writes the same record again, so only the version tells
+        # whether a write with a lost answer took effect.
+        if self._unchanged_since is None or version != self._version:
             self._resolve_lost_write(record)
             self._unchanged_since = now
         self._known = True
@@ -148,6 +155,8 @@
             return LeaseDecision(LeaseAction.READ, None, None, 0.0)
         if self._record is None:
             return self._writing(LeaseAction.TAKE_OVER, 1)
+        if not self._record.holder:
+            return self._writing(LeaseAction.TAKE_OVER, self._record.term + 1)
         if self._is_own(self._record):
             return self._decide_own(self._record, now)
         return self._decide_foreign(self._record, now)
@@ -199,6 +208,7 @@
         return LeaseDecision(LeaseAction.WAIT, None, None, due - now)
 
     def _decide_foreign(self, record: LeaseRecord, now: float) -> LeaseDecision:
+        assert self._unchanged_since is not None
         expiry = self._unchanged_since + self._lease_s
         if now >= expiry:
             # The version must have been seen unchanged at the expiry; a read
--- a/packages/state/radishtray_state/_membership.py
+++ b/packages/state/radishtray_state/_membership.py
@@ -199,6 +199,10 @@
         """Returns the record of a node."""
         return self._view.get(node_id)
 
+    def is_live_at(self, gossip_address: str) -> bool:
+        """Returns whether a live member has the address."""
+        return self._view.live_at(gossip_address) is not None
+
     def serving(self, service_name: str) -> tuple[MemberRecord, ...]:
         """Returns the members that take requests for a service.
 
