--- a/packages/coordination/radishtray_coordination/_slot_driver.py
+++ b/packages/coordination/radishtray_coordination/_slot_driver.py
@@ -44,7 +44,7 @@
 """An interval is extended when this much of the horizon is used: 15 min."""
 
 POLL_S: Final = 60.0
-"""Time between reads; half of the lead of a voluntary boundary."""
+"""Time between reads; a table in which a member gains slots is pushed."""
 
 CALL_TIMEOUT_S: Final = 5.0
 """A platform call without an answer counts as lost after this time."""
@@ -115,12 +115,14 @@
     """Claims, extends, balances and hands over the slots of one service."""
 
     __slots__ = (
+        "_address_bound",
         "_backoff_s",
         "_busy",
         "_clock",
         "_closed",
         "_dead",
         "_is_missing",
+        "_is_refreshing",
         "_leaving",
         "_members",
         "_name",
@@ -186,9 +188,11 @@
         self._timer: IDelayedCall | None = None
         self._backoff_s = _FIRST_BACKOFF_S
         self._busy = False
+        self._address_bound = False
         self._wake_again = False
         self._leaving = False
         self._closed = False
+        self._is_refreshing = False
 
     @property
     def table(self) -> SlotTable:
@@ -214,6 +218,12 @@
         if self._read.version < 0 or self._plan(self._read) != self.table:
             self._schedule(self._spread())
 
+    def refresh(self) -> None:
+        """Reads the table soon, because a sender may know a newer one."""
+        if self._timer is None or not self._is_refreshing:
+            self._is_refreshing = True
+            self._schedule(self._spread())
+
     def proven_dead(self, dead: SlotOwner) -> None:
         """Replaces an owner whose process has ended.
 
@@ -224,6 +234,14 @@
         self._dead.add(dead)
         self._schedule(self._spread())
 
+    def address_bound(self) -> None:
+        """Replaces earlier incarnations of this node without a peer's proof.
+
+        Call it after this process has bound the address that belongs to its
+        node id. A service with one member has no peer to see the handshake.
+        """
+        self._address_bound = True
+
     def receive_table(self, version: int, table: SlotTable) -> None:
         """Uses a table that a peer pushed."""
         self._use(_Read(version, table))
@@ -286,7 +304,7 @@
             return hand_over(read.table, me, members, self._highest)
         now_ms = self._clock.wall_ms()
         table = read.table
-        for dead in self._dead:
+        for dead in sorted(self._dead | self._predecessors(table)):
             table = replace_dead(table, dead, members, now_ms)
         if me in members:
             table = claim_free(table, me, len(members), now_ms)
@@ -295,6 +313,19 @@
             return read.table
         return prune(extend_horizon(table, me, now_ms), now_ms)
 
+    def _predecessors(self, table: SlotTable) -> set[SlotOwner]:
+        """Returns earlier incarnations of this node that own intervals."""
+        if not self._address_bound:
+            return set()
+        me = self._owner.me
+        return {
+            interval.owner
+            for slot in table.slots
+            for interval in slot
+            if interval.owner_id == me.node_id
+            and interval.incarnation < me.incarnation
+        }
+
     def _renewal_due(self, table: SlotTable, now_ms: int) -> bool:
         limit = now_ms + HORIZON_MS - RENEWAL_MS
         return any(
@@ -331,6 +362,8 @@
         if result.is_error():
             missing = self._is_missing(result.error)
             return _Read(-1, SlotTable()) if missing else None
+        if result.ok.version == self._read.version:
+            return self._read
         decoded = decode_slot_table(result.ok.value)
         if decoded.is_error():
             _LOG.error("%s cannot be read: %s", self._name, decoded.error)
@@ -415,6 +448,7 @@
 
     def _wake(self) -> None:
         self._busy = True
+        self._is_refreshing = False
         Deferred.fromCoroutine(self._settle()).addCallbacks(
             self._woken, self._failed
         )
--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -48,7 +48,7 @@
 
 _LOG = logging.getLogger(__name__)
 _EXPIRE_INTERVAL_S = 0.05
-_SILENCE_INTERVAL_S = 0.5
+_SILENCE_INTERVAL_S = 0.25
 _SECOND_S = 1.0
 _DRAIN_POLL_S = 0.05
 _LOOPBACK = "127.0.0.1"
@@ -148,6 +148,7 @@
             self.key_owner,
             self._running,
             self.metrics,
+            self._key_not_owned,
         )
         self.router = CallRouter(
             settings.node_id,
@@ -164,6 +165,7 @@
             self.suspects,
             self.server,
             self.metrics,
+            self._unknown,
             self._link_to,
         )
         self._store = ObjectStore(
@@ -200,7 +202,7 @@
             idle_s=settings.idle_time,
             request_s=settings.request_time,
         )
-        self._entry = Entry(self.router, self._current, self._unknown)
+        self._entry = Entry(self.router, self._current)
         upstream_api = UpstreamApi(
             self.router, self._current, self.upstream, self._running
         )
@@ -298,6 +300,9 @@
             record["incarnation"] == owner.incarnation
         )
 
+    def _key_not_owned(self) -> None:
+        self._slots.refresh()
+
     def _slot_members(self, service: str) -> list[SlotOwner]:
         return [
             SlotOwner(record["node_id"], record["incarnation"])
@@ -414,6 +419,7 @@
             "members_serving": sum(
                 record["serving"] for record in self._members.values()
             ),
+            "key_slots_owned": self._slots.owned_count,
             "in_flight": admission.in_flight,
             "queued": admission.queued,
             "threshold": admission.threshold,
--- a/packages/node/radishtray_node/_outgoing_call.py
+++ b/packages/node/radishtray_node/_outgoing_call.py
@@ -23,6 +23,8 @@
 # Taken off the deadline that is passed on, so that the receiver's truthful
 # verdict arrives before this node gives up.
 DEADLINE_MARGIN_MS = 10
+_MAX_REROUTES = 4
+_REROUTE_DELAY_S = 0.05
 
 ResultCallback = Callable[[CallResult], None]
 
@@ -40,6 +42,7 @@
         "_forward",
         "_grant",
         "_headers",
+        "_is_cancelled",
         "_is_done",
         "_key",
         "_kind",
@@ -49,6 +52,7 @@
         "_on_result",
         "_path",
         "_request",
+        "_reroutes",
         "_retries",
         "_router",
         "_sent_s",
@@ -95,7 +99,7 @@
         self._key = key
         self._first_send = first_send
         self.fingerprint = fingerprint
-        self._on_result: ResultCallback | None = on_result
+        self._on_result = on_result
         now_s = router.clock.monotonic()
         self.deadline_s = min(
             request.deadline_s, now_s + kind.deadline_ms / 1000
@@ -110,7 +114,9 @@
         self._crashes = 0
         self._excluded: tuple[str, ...] = ()
         self._may_have_run = False
+        self._reroutes = 0
         self._is_done = False
+        self._is_cancelled = False
 
     def start(self) -> None:
         """Sends the first attempt."""
@@ -185,6 +191,8 @@
         request = self._request
         left_ms = int((self.deadline_s - self._sent_s) * 1000)
         key = self._key
+        known_crashes = self._router.crashes(self.fingerprint)
+        self._crashes = max(self._crashes, known_crashes)
         return wire.Call(
             attempt_id=0,
             service_name=self._kind.service,
@@ -221,13 +229,18 @@
             answer.queue_ms,
             reason=result.refusal,
         )
+        if result.crashed:
+            self._crashes += 1
+            router.note_crashes(self.fingerprint, self._crashes)
+        elif self._crashes and result.refusal is None:
+            router.note_crashes(self.fingerprint, 0)
         if self._is_done:
+            if self._is_cancelled:
+                self._note_unknown(result)
             return
         if result.refusal is None:
             self._finish(result)
             return
-        if result.crashed:
-            self._crashes += 1
         self._refused_there(result)
 
     def _refused_there(self, result: CallResult) -> None:
@@ -235,9 +248,10 @@
         assert reason is not None
         if not reason.is_not_run:
             self._may_have_run = True
-        if self._key is not None and reason in (
-            RefusalReason.KEY_NOT_OWNED,
-            RefusalReason.DRAINING,
+        is_owner_leaving = reason is RefusalReason.DRAINING
+        if self._key is not None and (
+            reason is RefusalReason.KEY_NOT_OWNED
+            or (is_owner_leaving and self._reroutes < _MAX_REROUTES)
         ):
             self._route_key_again()
         else:
@@ -270,13 +284,28 @@
         if self._may_have_run:
             self._finish(CallResult.refused(RefusalReason.KEY_UNKNOWN))
             return
-        route = self._router.keys.not_taken(
-            self._kind.service, self._key, forward
+        router = self._router
+        left_s = self.deadline_s - router.clock.monotonic()
+        delay_s = _REROUTE_DELAY_S * self._reroutes
+        if self._reroutes < _MAX_REROUTES and delay_s < left_s / 2:
+            # Not a retry: no owner has run anything. A slot that is being
+            # handed over has no owner for the time of a platform write.
+            self._reroutes += 1
+            router.metrics.key_redirects.inc()
+            refresh = KeyRefresh(forward.pristine)
+            router.timers.after(
+                delay_s, lambda: self._follow(refresh, is_retry=False)
+            )
+            return
+        route = router.keys.not_taken(
+            self._kind.service, self._key, self._refreshed(forward)
         )
-        # Not a retry: the first owner ran nothing, and the router allows one
-        # refreshed route for each send.
         self._follow(route, is_retry=False)
 
+    @staticmethod
+    def _refreshed(forward: KeyForward) -> KeyForward:
+        return KeyForward(forward.owner, forward.pristine, refreshed=True)
+
     def _retry_or_finish(
         self, reason: RefusalReason, result: CallResult
     ) -> None:
@@ -341,10 +370,22 @@
     def cancel(self) -> None:
         """Stops the call; its callback is not called."""
         if not self._is_done:
-            self._on_result = None
+            self._is_cancelled = True
             self._finish(CallResult.refused(RefusalReason.CANCELLED_RUNNING))
             self._stop_attempt()
 
+    def _note_unknown(self, result: CallResult) -> None:
+        """Lists the outcome for operators if an effect may be in doubt."""
+        reason = result.refusal
+        if reason is None or reason.is_not_run or self._kind.idempotent:
+            return
+        self._router.unknown.add(
+            self._request.request_id,
+            self._kind.qualified_name,
+            None if self._key is None else str(self._key),
+            reason,
+        )
+
     def _stop_attempt(self) -> None:
         attempt = self._attempt
         if attempt is not None and not attempt.is_settled:
@@ -357,7 +398,6 @@
         self._request.calls.discard(self)
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
-        callback = self._on_result
-        self._on_result = None
-        if callback is not None:
-            callback(result)
+        if not self._is_cancelled:
+            self._note_unknown(result)
+            self._on_result(result)
--- a/packages/testing/radishtray_testing/tests/test_ctl.py
+++ b/packages/testing/radishtray_testing/tests/test_ctl.py
@@ -2,6 +2,9 @@
 
 import io
 import json
+import os
+import subprocess
+import sys
 from collections.abc import Callable
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -319,11 +322,18 @@
     ) -> None:
         self.start()
         text = section("alfa").replace("/k,", "/k, calls: [beta/no],")
-        path = self.write("alfa.yaml", text)
-        code, shown = await self.ctl("config", "apply", path)
-        self.assertEqual((code, shown["error"]), (1, "findings"))
-        finding = shown["findings"][0]
-        self.assertEqual(finding["key"], "kinds.k.calls")
+        path = self.write("alfa.yaml", "# One more line.\n", text)
+        stale = self.write("stale.yaml", section("gama", 3))
+        cases = {
+            (path,): (path, 7),
+            (path, stale, "--section", "alfa"): ("section alfa", 6),
+        }
+        for words, place in cases.items():
+            code, shown = await self.ctl("config", "apply", *words)
+            self.assertEqual((code, shown["error"]), (1, "findings"))
+            (finding,) = shown["findings"]
+            self.assertEqual(finding["key"], "kinds.k.calls")
+            self.assertEqual((finding["source"], finding["line"]), place)
         self.assertEqual(self.standin.release.generation, 3)
 
     async def test_check_reports_each_planted_fault_at_its_place(self) -> None:
@@ -365,14 +375,23 @@
 
     async def test_operator_commands(self) -> None:
         self.address = self.listen(Operators())
-        code, shown = await self.ctl("status")
-        self.assertEqual((code, shown["unknown_outcomes"]), (0, [{"key": "k"}]))
+        quiet = self.listen(Operators(b'{"unknown_outcomes": []}'))
+        nodes = ("--node", self.address, "--node", quiet)
+        code, shown = await self.ctl("status", *nodes)
+        outcomes = [
+            node["status"]["unknown_outcomes"] for node in shown["nodes"]
+        ]
+        self.assertEqual((code, outcomes), (1, [[{"key": "k"}], []]))
+        self.assertEqual((shown["ok"], len(shown["findings"])), (False, 1))
+        code, shown = await self.ctl("status", "--node", quiet)
+        self.assertEqual((code, shown["ok"], shown["findings"]), (0, True, []))
         code, shown = await self.ctl("drain")
         self.assertEqual((code, shown["draining"]), (0, True))
         code, _ = await self.ctl("status", "--operator-token", "wrong")
         self.assertEqual(code, 1)
-        code, _ = await self.ctl("status", "--node", "127.0.0.1:1")
-        self.assertEqual(code, 3)
+        code, shown = await self.ctl("status", *nodes, "--node", "127.0.0.1:1")
+        self.assertEqual((code, len(shown["findings"])), (3, 2))
+        self.assertEqual(shown["nodes"][2]["error"], "unreachable")
 
 
 class Operators(Resource):
@@ -380,12 +399,18 @@
 
     isLeaf = True
 
+    def __init__(
+        self, status: bytes = b'{"unknown_outcomes": [{"key": "k"}]}'
+    ) -> None:
+        Resource.__init__(self)
+        self._status = status
+
     def render(self, request: Any) -> bytes:
         if request.getHeader("authorization") != "Bearer secret":
             request.setResponseCode(401)
             return b""
         shown = {
-            (b"GET", b"/status"): b'{"unknown_outcomes": [{"key": "k"}]}',
+            (b"GET", b"/status"): self._status,
             (b"POST", b"/drain"): b'{"draining": true}',
         }
         return shown[request.method, request.path]
@@ -402,6 +427,30 @@
     assert caught.value.code == 2
 
 
+@pytest.mark.parametrize(
+    ("words", "exit_code"),
+    [
+        (["config", "check", str(EXAMPLES)], 1),  # Two documents in one.
+        (["config", "check", str(EXAMPLES / "fundacion.yaml")], 0),
+        (["config", "show"], 2),
+        (["config", "show", "--platform", "http://127.0.0.1:1"], 3),
+        (["status", "--node", "127.0.0.1:1", "--operator-token", "é"], 2),
+        (["status", "--node", "127.0.0.1:1", "--node", "nowhere"], 2),
+    ],
+    ids=str,
+)
+def test_program_ends_with_the_exit_code(
+    words: list[str], exit_code: int
+) -> None:
+    command = [sys.executable, "-m", "radishtray_ctl.main", *words]
+    environment = {"PATH": os.environ["PATH"], "LANG": "C.UTF-8"}
+    done = subprocess.run(
+        command, env=environment, capture_output=True, check=False
+    )
+    assert done.returncode == exit_code, done.stderr
+    assert b"Traceback" not in done.stderr
+
+
 def test_every_command_and_setting_is_documented() -> None:
     page = (EXAMPLES.parent / "docs" / "cli.md").read_text("utf-8")
     for entry in COMMANDS.values():
