--- a/packages/state/radishtray_state/_membership.py
+++ b/packages/state/radishtray_state/_membership.py
@@ -191,6 +191,10 @@
         """64-bit digest over the live members; equal at nodes that agree."""
         return self._view.digest.root
 
+    def summary(self) -> ViewSummary:
+        """Returns the top of the digest tree, as a digest exchange sends it."""
+        return self._view.digest.summary("", is_reply=False)
+
     def members(self) -> list[MemberRecord]:
         """Returns all records, dead members and the own node included."""
         return list(self._view)
@@ -607,8 +611,7 @@
         self._saw_difference = False
         self._next_digest_at = now + interval * self._rng.uniform(0.9, 1.1)
         for peer in self.draw(1):
-            summary = self._view.digest.summary("", is_reply=False)
-            sent.append(self._push(peer.gossip_address, summary))
+            sent.append(self._push(peer.gossip_address, self.summary()))
 
     def _repair(
         self, summary: ViewSummary, source: str, now: float
--- a/packages/testing/radishtray_testing/_gossip_network.py
+++ b/packages/testing/radishtray_testing/_gossip_network.py
@@ -4,6 +4,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable
+from functools import partial
 
 from radishtray_state import (
     Datagram,
@@ -84,7 +85,7 @@
         """Datagrams by sender address and second."""
         self._cut: Callable[[str, str], bool] | None = None
         self._paused: dict[str, list[tuple[Datagram, str]]] = {}
-        self._events: list[tuple[float, int, str, Datagram | None]] = []
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = 0
         self._seeds: dict[str, tuple[str, ...]] = {}
         self._ticking: set[str] = set()
@@ -94,6 +95,7 @@
         record: MemberRecord,
         seeds: Iterable[str] = (),
         parameters: MembershipParameters | None = None,
+        on_generation: Callable[[str, int], None] = lambda _peer, _told: None,
     ) -> Membership:
         """Starts a node, in place of the one at its address if there is one.
 
@@ -106,13 +108,15 @@
             random.Random(self._rng.random()),
             parameters,
             on_change=changes.append,
+            on_generation=on_generation,
         )
         address = record.gossip_address
         self.nodes[address] = node
         self._paused.pop(address, None)
         if address not in self._ticking:
             self._ticking.add(address)
-            self._schedule(self._rng.uniform(0, _TICK_S), address, None)
+            phase_s = self._rng.uniform(0, _TICK_S)
+            self.schedule(phase_s, partial(self._tick, address))
         self._seeds[address] = tuple(seeds)
         return node
 
@@ -144,18 +148,21 @@
             if self._cut is not None and self._cut(source, datagram.address):
                 continue
             latency = self._rng.uniform(0.5, 1.5) * self.latency_s
-            self._schedule(latency, source, datagram)
+            self.schedule(latency, partial(self._deliver, datagram, source))
+
+    def schedule(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Runs an action after a delay of simulated time."""
+        self._order += 1
+        due = self.clock.monotonic() + delay_s
+        heapq.heappush(self._events, (due, self._order, action))
 
     def run(self, seconds: float) -> None:
         """Advances the clock from event to event."""
         end = self.clock.monotonic() + seconds
         while self._events and self._events[0][0] <= end:
-            due, _, source, datagram = heapq.heappop(self._events)
+            due, _, action = heapq.heappop(self._events)
             self.clock.advance(max(0.0, due - self.clock.monotonic()))
-            if datagram is None:
-                self._tick(source)
-            else:
-                self._deliver(datagram, source)
+            action()
         self.clock.advance(max(0.0, end - self.clock.monotonic()))
 
     def agreed(self) -> bool:
@@ -204,16 +211,9 @@
         if node is None:
             self._ticking.discard(address)
             return
-        self._schedule(_TICK_S, address, None)
+        self.schedule(_TICK_S, partial(self._tick, address))
         if address in self._paused:
             return
         self.send(node.tick(self.clock.monotonic()), address)
         if node.live_count == 1:
             self.send(node.join(self._seeds[address]), address)
-
-    def _schedule(
-        self, delay_s: float, source: str, datagram: Datagram | None
-    ) -> None:
-        self._order += 1
-        due = self.clock.monotonic() + delay_s
-        heapq.heappush(self._events, (due, self._order, source, datagram))
