--- a/packages/node/radishtray_node/_entry.py
+++ b/packages/node/radishtray_node/_entry.py
@@ -18,7 +18,14 @@
 class _EntryRequest:
     """One request of a caller, from its arrival to the answer."""
 
-    __slots__ = ("_entry", "_http", "_kind", "_request", "_started_s")
+    __slots__ = (
+        "_entry",
+        "_http",
+        "_is_gone",
+        "_kind",
+        "_request",
+        "_started_s",
+    )
 
     def __init__(
         self,
@@ -33,20 +40,26 @@
         self._kind = kind
         self._request = request
         self._started_s = started_s
+        self._is_gone = False
         http.on_disconnect = self._disconnected
 
     def finish(self, result: CallResult) -> None:
-        """Answers the caller."""
+        """Answers the caller, if it has not disconnected."""
         entry = self._entry
         entry.active -= 1
-        reason = result.refusal
-        if reason is not None:
-            entry.router.metrics.delivered(reason)
+        if self._is_gone:
+            return
+        if result.refusal is not None:
+            entry.router.metrics.delivered(result.refusal)
         entry.timer.record(entry.router.clock.monotonic() - self._started_s)
         self._http.respond(result.status, result.headers, result.body)
 
     def _disconnected(self) -> None:
-        """Cancels the calls, but lets a keyed run go on for a resend."""
+        """Cancels the calls, but lets a keyed run go on for a resend.
+
+        The keyed run counts as active until it ends, so a drain waits for it.
+        """
+        self._is_gone = True
         if not self._kind.at_most_once:
             self._entry.active -= 1
             self._request.cancel_calls()
