--- a/packages/protocol/radishtray_protocol/__init__.py
+++ b/packages/protocol/radishtray_protocol/__init__.py
@@ -1,9 +1,123 @@
 """Wire messages, document format and platform objects."""
 
+from radishtray_protocol._cluster_keys import (
+    MAX_KEY_ID_BYTES,
+    TAG_BYTES,
+    ClusterKeys,
+    ClusterKeysError,
+    ClusterKeysFault,
+)
+from radishtray_protocol._coordination_objects import (
+    MAX_SEEDS,
+    SEEDS_PREFIX,
+    decode_lease,
+    decode_seeds,
+    encode_lease,
+    encode_seeds,
+    lease_object,
+    seeds_object,
+)
+from radishtray_protocol._document import (
+    DEFAULTS_SECTION,
+    Document,
+    RequestKind,
+    ServiceSection,
+)
+from radishtray_protocol._document_keys import (
+    DEFAULTS_KEYS,
+    KIND_KEYS,
+    KeySpec,
+    KeyType,
+    PriorityClass,
+)
+from radishtray_protocol._findings import Finding
+from radishtray_protocol._frames import (
+    DEFAULT_MAX_FRAME_BYTES,
+    FrameDecoder,
+    FrameError,
+    decode_struct,
+    encode_frame,
+    encode_struct,
+)
+from radishtray_protocol._gen import ttypes as wire
+from radishtray_protocol._parse import (
+    ParsedSource,
+    combine_sources,
+    parse_document,
+    parse_source,
+)
+from radishtray_protocol._release import (
+    MAX_HISTORY_CHANGES,
+    MAX_VALUE_BYTES,
+    RELEASE_OBJECT,
+    Change,
+    DigestChange,
+    Release,
+    ReleaseError,
+    decode_release,
+    next_release,
+    section_object,
+)
+from radishtray_protocol._sections import (
+    join_sections,
+    section_digest,
+    split_sections,
+)
 from radishtray_protocol._slot_codec import (
     SlotCodecError,
     decode_slot_table,
     encode_slot_table,
 )
 
-__all__ = ["SlotCodecError", "decode_slot_table", "encode_slot_table"]
+__all__ = [
+    "DEFAULTS_KEYS",
+    "DEFAULTS_SECTION",
+    "DEFAULT_MAX_FRAME_BYTES",
+    "KIND_KEYS",
+    "MAX_HISTORY_CHANGES",
+    "MAX_KEY_ID_BYTES",
+    "MAX_SEEDS",
+    "MAX_VALUE_BYTES",
+    "RELEASE_OBJECT",
+    "SEEDS_PREFIX",
+    "TAG_BYTES",
+    "Change",
+    "ClusterKeys",
+    "ClusterKeysError",
+    "ClusterKeysFault",
+    "DigestChange",
+    "Document",
+    "Finding",
+    "FrameDecoder",
+    "FrameError",
+    "KeySpec",
+    "KeyType",
+    "ParsedSource",
+    "PriorityClass",
+    "Release",
+    "ReleaseError",
+    "RequestKind",
+    "ServiceSection",
+    "SlotCodecError",
+    "combine_sources",
+    "decode_lease",
+    "decode_release",
+    "decode_seeds",
+    "decode_slot_table",
+    "decode_struct",
+    "encode_frame",
+    "encode_lease",
+    "encode_seeds",
+    "encode_slot_table",
+    "encode_struct",
+    "join_sections",
+    "lease_object",
+    "next_release",
+    "parse_document",
+    "parse_source",
+    "section_digest",
+    "section_object",
+    "seeds_object",
+    "split_sections",
+    "wire",
+]
