--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -75,15 +75,17 @@
     """
     try:
         value = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Error(f"the announcement is not JSON: {error}")
     if not isinstance(value, dict):
         return Error("the announcement must be a JSON object")
     try:
+        if not isinstance(value["service"], str):
+            raise TypeError("the service must be a text")
         host, _, port = str(value["address"]).rpartition(":")
         return Ok(
             Announcement(
-                str(value["service"]),
+                value["service"],
                 host,
                 int(port),
                 int(value["slots"]),
