Drop this system's headers from answers of upstreams

Cause: an upstream that copies the refusal of its own call into its answer passed Radishtray-Outcome: not_run on to its caller, although its request ran. Change: Radishtray-* headers of upstreams' answers are dropped. Result: test_an_upstream_cannot_pass_on_the_refusal_of_its_own_call failed before (the caller read not_run) and passes now. Ruled out: refusals of nodes; their headers are made by the sender's node and still arrive (refusal tests of test_listeners).

--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from radishtray_node._call_result import CallResult
+from radishtray_node._request_parts import without_own_headers
 from radishtray_node._running_request import RunningRequest
 from radishtray_node._timers import Timer
 from radishtray_protocol import wire
@@ -239,7 +240,8 @@
     def _answered(self, answer: HttpAnswer) -> None:
         self._finish_slot()
         self._server.suspect_finished(self.request.fingerprint, True)
-        result = CallResult(answer.status, answer.headers, answer.body)
+        headers = without_own_headers(answer.headers)
+        result = CallResult(answer.status, headers, answer.body)
         if self._key is not None:
             self._server.key_owner.finish(self._key, result)
         self._answer(result)
--- a/packages/node/radishtray_node/_request_parts.py
+++ b/packages/node/radishtray_node/_request_parts.py
@@ -18,7 +18,8 @@
         b"idempotency-key",
     )
 )
-_OWN_PREFIX = b"radishtray-"
+_OWN_TEXT_PREFIX = "radishtray-"
+_OWN_PREFIX = _OWN_TEXT_PREFIX.encode()
 
 
 class CallTarget:
@@ -66,6 +67,25 @@
     return CallTarget(service, f"/{rest}" if slash else "/", query)
 
 
+def without_own_headers(headers: HeaderList) -> HeaderList:
+    """Drops the headers of this system from an upstream's answer.
+
+    An upstream may copy the refusal of a call that it made. Its own request
+    ran, so that the copy would state `not_run` falsely.
+
+    >>> without_own_headers(["Radishtray-Outcome", "not_run", "X", "y"])
+    ['X', 'y']
+    """
+    names = headers[::2]
+    if not any(name.lower().startswith(_OWN_TEXT_PREFIX) for name in names):
+        return headers
+    kept: HeaderList = []
+    for name, value in zip(names, headers[1::2], strict=True):
+        if not name.lower().startswith(_OWN_TEXT_PREFIX):
+            kept += (name, value)
+    return kept
+
+
 def forwarded_headers(request: HttpRequest) -> HeaderList:
     """Returns the headers to pass on, names and values alternating.
 
--- a/packages/node/radishtray_node/tests/test_listeners.py
+++ b/packages/node/radishtray_node/tests/test_listeners.py
@@ -218,3 +218,17 @@
         "text": reason.text,
     }
     assert bench.b.upstream.runs == []
+
+
+def test_an_upstream_cannot_pass_on_the_refusal_of_its_own_call() -> None:
+    """Its request ran, whatever its sub-call was told."""
+    bench = Bench()
+    caller: Caller = bench.cluster.caller(bench.a)
+    caller.send("POST", "/s/write")
+    bench.run()
+    http: HttpRequest = bench.b.upstream.open[0]
+    copied = ["Radishtray-Outcome", "not_run", "Radishtray-Reason", "shed"]
+    http.respond(503, copied, b"copied")
+    bench.run()
+    assert not caller.claims_not_run()
+    assert caller.seen() == "copied"
