--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from radishtray_node._call_result import CallResult
+from radishtray_node._request_parts import without_own_headers
 from radishtray_node._running_request import RunningRequest
 from radishtray_node._timers import Timer
 from radishtray_protocol import wire
@@ -148,12 +149,15 @@
         digest.update(call.body)
         return digest.digest()
 
-    def _check_suspect(self) -> None:
-        """Refuses a blocked fingerprint; runs one suspect at a time."""
+    def _suspect_verdict(self) -> SuspectVerdict:
         suspects = self._server.upstream.suspects
-        verdict = suspects.check(
+        return suspects.check(
             self.request.fingerprint, self.request.crash_count
         )
+
+    def _check_suspect(self) -> None:
+        """Refuses a blocked fingerprint; runs one suspect at a time."""
+        verdict = self._suspect_verdict()
         if verdict is SuspectVerdict.REFUSE:
             self._refuse(RefusalReason.CRASH_SUSPECT)
         elif verdict is SuspectVerdict.WAIT:
@@ -182,13 +186,23 @@
             self._ticket = None
             self._refuse(reason)
 
+    def _give_slot_back(self) -> None:
+        ticket = self._ticket
+        self._ticket = None
+        if ticket is not None:
+            self._server.upstream.admission.finish(ticket, None)
+
     def _run(self) -> None:
+        if self._suspect_verdict() is not SuspectVerdict.RUN:
+            # Another suspect began, or a crash was noted, while this waited.
+            self._give_slot_back()
+            self._check_suspect()
+            return
         server = self._server
         client = server.upstream.client
         assert self._ticket is not None
         if client is None:
-            self._phase = _Phase.RUNNING
-            self._finish_slot()
+            self._give_slot_back()
             self._refuse(RefusalReason.UPSTREAM_REFUSED)
             return
         self._phase = _Phase.RUNNING
@@ -226,7 +240,8 @@
     def _answered(self, answer: HttpAnswer) -> None:
         self._finish_slot()
         self._server.suspect_finished(self.request.fingerprint, True)
-        result = CallResult(answer.status, answer.headers, answer.body)
+        headers = without_own_headers(answer.headers)
+        result = CallResult(answer.status, headers, answer.body)
         if self._key is not None:
             self._server.key_owner.finish(self._key, result)
         self._answer(result)
@@ -270,7 +285,10 @@
         Running keyed work goes on, so that its record gets the answer.
         """
         self._is_cancelled = True
-        if self._phase is _Phase.WAITING:
+        if self._phase is _Phase.WAITING and self._joined_key is not None:
+            # The joined run goes on and may take effect.
+            self._refuse(RefusalReason.CANCELLED_RUNNING)
+        elif self._phase is _Phase.WAITING:
             self._withdraw()
             self._refuse(RefusalReason.CANCELLED_QUEUED)
         elif self._phase is _Phase.RUNNING and self._key is None:
--- a/packages/protocol/radishtray_protocol/_frames.py
+++ b/packages/protocol/radishtray_protocol/_frames.py
@@ -1,8 +1,8 @@
 """Length-prefixed Thrift frames between nodes."""
 
 import struct
-from collections.abc import Callable
-from typing import TypeVar
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer, TTransportBase
@@ -13,6 +13,8 @@
 
 _LENGTH = struct.Struct("!I")
 _LENGTH_BYTES = _LENGTH.size
+_MAX_STRING_BYTES = 64 * 1024 * 1024
+_MAX_CONTAINER_ITEMS = 100_000
 DEFAULT_MAX_FRAME_BYTES = 4 * 1024 * 1024
 
 
@@ -51,6 +53,13 @@
 
 _sink = _Sink()
 _encoder = TBinaryProtocolAccelerated(_sink)
+# One instance for all frames; building it took a quarter of the decoding time.
+# The limits keep a short frame from claiming a large string or container.
+_decoder = TBinaryProtocolAccelerated(
+    TMemoryBuffer(b""),
+    string_length_limit=_MAX_STRING_BYTES,
+    container_length_limit=_MAX_CONTAINER_ITEMS,
+)
 
 
 def encode_struct(value: object) -> bytes:
@@ -75,13 +84,9 @@
     Raises:
         FrameError: If the encoding is malformed or lacks a required field.
     """
-    protocol = TBinaryProtocolAccelerated(
-        TMemoryBuffer(data),
-        string_length_limit=len(data),
-        container_length_limit=len(data),
-    )
+    _decoder.trans = TMemoryBuffer(data)
     try:
-        value.read(protocol)  # type: ignore[attr-defined]
+        value.read(_decoder)  # type: ignore[attr-defined]
         value.validate()  # type: ignore[attr-defined]
     except Exception as error:
         # The decoder raises many types (EOFError, TypeError, UnicodeError,
@@ -163,38 +168,51 @@
         return frame
 
 
-_NESTED_FIELDS = tuple(
+_CONTROL_FIELDS = tuple(
     name for name in ttypes.Frame.__slots__ if name not in ("call", "answer")
 )
 
 
 def _check_nested(frame: "ttypes.Frame") -> None:
-    """Raises FrameError unless exactly one message with all fields is set."""
+    """Checks what Thrift does not: nested structs and the number of messages.
+
+    Raises:
+        FrameError: If a field is missing, or if a frame that is neither a call
+            nor an answer does not hold exactly one message.
+    """
     try:
         if frame.call is not None:
             frame.call.validate()
             frame.call.context.validate()
-            return
-        if frame.answer is not None:
+        elif frame.answer is not None:
             frame.answer.validate()
-            return
-        messages = [
-            message
-            for name in _NESTED_FIELDS
-            if (message := getattr(frame, name)) is not None
-        ]
-        if len(messages) != 1:
-            raise FrameError("malformed", 0, f"{len(messages)} messages set")
-        messages[0].validate()
-        states = frame.attempt_states
-        for state in states.states if states is not None else ():
-            state.validate()
-            if state.answer is not None:
-                state.answer.validate()
-        records = frame.key_records
-        for record in records.records if records is not None else ():
-            record.validate()
+        else:
+            _check_control(frame)
     except FrameError:
         raise
     except Exception as error:
         raise FrameError("malformed", 0, f"missing field: {error}") from error
+
+
+def _check_control(frame: "ttypes.Frame") -> None:
+    """Checks a frame that is neither a call nor an answer."""
+    messages = [
+        message
+        for name in _CONTROL_FIELDS
+        if (message := getattr(frame, name)) is not None
+    ]
+    if len(messages) != 1:
+        raise FrameError("malformed", 0, f"{len(messages)} messages set")
+    messages[0].validate()
+    if frame.attempt_states is not None:
+        _check_answered(frame.attempt_states.states)
+    elif frame.key_records is not None:
+        _check_answered(frame.key_records.records)
+
+
+def _check_answered(items: Iterable[Any]) -> None:
+    """Checks attempt states or key records, and the answers that they hold."""
+    for item in items:
+        item.validate()
+        if item.answer is not None:
+            item.answer.validate()
