--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -17,7 +17,7 @@
     CrashSuspects,
     SuspectVerdict,
     fingerprint,
-    suspect_host,
+    suspect_hosts,
 )
 from radishtray_state._outstanding_attempts import (
     AttemptVerdict,
@@ -66,5 +66,5 @@
     "SystemClock",
     "fingerprint",
     "retry_rule",
-    "suspect_host",
+    "suspect_hosts",
 ]
--- a/packages/state/radishtray_state/_attempts.py
+++ b/packages/state/radishtray_state/_attempts.py
@@ -1,7 +1,7 @@
 """Receiver's record of attempts, by sender.
 
-A sender numbers its attempts per receiver, from 1 upwards, in the order in
-which it hands them to a socket. The receiver therefore accepts only increasing
+A sender numbers its attempts per receiver, upwards, in the order in which it
+hands them to a socket. The receiver therefore accepts only increasing
 ids, which rejects duplicates without remembering every id.
 """
 
--- a/packages/state/radishtray_state/_crash_suspects.py
+++ b/packages/state/radishtray_state/_crash_suspects.py
@@ -13,8 +13,8 @@
 
 LIMIT_S = 60.0  # Time for which a crash is remembered.
 
+_HOP_S = 0.1  # Lost with each hop, so that no chain of hops is endless.
 _SAME_CRASH_S = 10.0  # News whose crash times differ less are one crash.
-_GOSSIP_DELAY_S = 1.0  # Taken off when exported; covers the way to the peer.
 _PURGE_INTERVAL_S = 10.0
 _RENEWAL_LIMIT_S = 2 * LIMIT_S  # News renews an entry up to this age.
 
@@ -108,19 +108,18 @@
     return int.from_bytes(digest.digest(), "big") >> 1
 
 
-def suspect_host(suspect: int, node_ids: Iterable[str]) -> str | None:
-    """Returns the one node that should run a suspect.
+def suspect_hosts(suspect: int, node_ids: Iterable[str]) -> list[str]:
+    """Returns the nodes that may run a suspect, in the order to ask them.
 
-    Every sender with the same view chooses the same node (rendezvous
-    hashing), so that several resends of a crashing request do not reach
-    several upstreams at once.
+    Every sender with the same view gets the same order (rendezvous hashing),
+    so that concurrent resends of a crashing request meet at one node. The list
+    must contain nodes whose upstream is down: such a node may know that its
+    upstream's crash has blocked the request. Only if it answers
+    `no_upstream`, the sender asks the next one.
 
     Args:
         suspect: Fingerprint of the suspect.
-        node_ids: Serving nodes of the service.
-
-    Returns:
-        One of the node ids, or None if there are none.
+        node_ids: Nodes of the service.
     """
     salt = suspect.to_bytes(8, "big")
 
@@ -129,7 +128,7 @@
             node_id.encode(), digest_size=8, key=salt
         ).digest()
 
-    return max(node_ids, key=weight, default=None)
+    return sorted(node_ids, key=weight)
 
 
 class CrashSuspects:
@@ -141,6 +140,7 @@
         "_export_at",
         "_in_flight",
         "_max",
+        "_only_suspect",
         "_purge_at",
     )
 
@@ -163,6 +163,7 @@
         self._entries: dict[int, _Entry] = {}
         self._in_flight: dict[int, int] = {}
         self._export_at = 0
+        self._only_suspect: int | None = None
         self._purge_at = 0.0
 
     def __len__(self) -> int:
@@ -179,6 +180,10 @@
     def check(self, fingerprint: int, crash_count: int = 0) -> SuspectVerdict:
         """Decides about a request before it runs on this upstream.
 
+        When the upstream crashes, requests that wait here are checked here
+        again before they are sent elsewhere. Other nodes may not know yet
+        that the crash has blocked them.
+
         Args:
             fingerprint: Digest of the request.
             crash_count: Crashes noted in the request's context. They make
@@ -201,6 +206,12 @@
 
     def started(self, fingerprint: int) -> None:
         """Notes that a request was handed to the upstream."""
+        if (
+            self._entries
+            and self.crashes(fingerprint) == _SUSPECT
+            and not self._running_suspects()
+        ):
+            self._only_suspect = fingerprint
         running = self._in_flight.get(fingerprint, 0)
         self._in_flight[fingerprint] = running + 1
 
@@ -223,6 +234,8 @@
         entry = self._entries.get(fingerprint)
         if entry is None:
             return False
+        if fingerprint == self._only_suspect:
+            self._only_suspect = None
         if completed and self.crashes(fingerprint) == _SUSPECT:
             now = self._clock.monotonic()
             entry.crashes = _CLEARED
@@ -235,6 +248,11 @@
     ) -> list[CrashSuspect]:
         """Notes that the upstream died.
 
+        Blocks the request that was started as the only suspect, if any. A
+        request that became a suspect while it was running does not count,
+        in either direction: otherwise news of the first crash that arrives
+        during the second run would protect the crashing request.
+
         Args:
             in_flight: Fingerprints that were running on it; by default those
                 started and not finished.
@@ -245,11 +263,10 @@
         now = self._clock.monotonic()
         running = set(self._in_flight if in_flight is None else in_flight)
         self._in_flight.clear()
-        accused = [f for f in running if self.crashes(f)]
-        only_suspect = accused[0] if len(accused) == 1 else None
-        for fingerprint in running:
-            if self.crashes(fingerprint) >= _BLOCKED:
-                continue
+        blocked = {f for f in running if self.crashes(f) >= _BLOCKED}
+        only_suspect = None if blocked else self._only_suspect
+        self._only_suspect = None
+        for fingerprint in running - blocked:
             crashes = _BLOCKED if fingerprint == only_suspect else _SUSPECT
             self._entries[fingerprint] = _Entry(crashes, now, now)
         self._bound(now)
@@ -285,7 +302,7 @@
             return []
         now = self._clock.monotonic()
         self._bound(now)
-        horizon = now + _GOSSIP_DELAY_S
+        horizon = now + _HOP_S
         live = [
             (f, e) for f, e in self._entries.items() if e.expires_at > horizon
         ]
--- a/packages/state/radishtray_state/_outstanding_attempts.py
+++ b/packages/state/radishtray_state/_outstanding_attempts.py
@@ -8,6 +8,9 @@
 
 ContextT = TypeVar("ContextT")
 
+_SALT_BITS = 23
+_COUNTER_BITS = 40  # With the salt they fill a positive 64-bit integer.
+
 
 class AttemptVerdict(Enum):
     """What the sender may say about a settled attempt."""
@@ -111,6 +114,7 @@
         "_current",
         "_earlier",
         "_epoch",
+        "_first_id",
         "_is_open",
         "_last_id",
         "_late",
@@ -119,14 +123,26 @@
         "_receiver_incarnation",
     )
 
-    def __init__(self) -> None:
-        """Creates an empty record without a connection."""
+    def __init__(self, salt: int = 0) -> None:
+        """Creates an empty record without a connection.
+
+        Args:
+            salt: Number from 0 to 2**23 - 1 in the upper bits of every id.
+                With a different salt per receiver, an answer written to the
+                wrong connection does not match an attempt by chance.
+
+        Raises:
+            ValueError: If the salt is out of range.
+        """
+        if not 0 <= salt < 2**_SALT_BITS:
+            raise ValueError(f"salt {salt} does not fit {_SALT_BITS} bits")
         self._current: dict[int, ContextT] = {}
         self._earlier: dict[int, ContextT] = {}
         self._epoch = 0
         self._next_epoch = 0
         self._is_open = False
-        self._last_id = 0
+        self._first_id = (salt << _COUNTER_BITS) + 1
+        self._last_id = self._first_id - 1
         self._receiver_incarnation = 0
         self._late = 0
         self._mismatched = 0
@@ -218,7 +234,7 @@
                 context = self._earlier.pop(attempt_id, None)
             if context is not None:
                 return context
-        if 0 < attempt_id <= self._last_id:
+        if self._first_id <= attempt_id <= self._last_id:
             self._late += 1
         else:
             self._mismatched += 1
@@ -244,7 +260,10 @@
             verdict = _VERDICTS[state.phase]
             if verdict is None or state.attempt_id not in self._earlier:
                 continue
-            if verdict is AttemptVerdict.ANSWERED and state.answer is None:
+            answer = state.answer
+            if verdict is not AttemptVerdict.ANSWERED:
+                answer = None
+            elif answer is None:
                 verdict = AttemptVerdict.UNKNOWN
             context = self._earlier.pop(state.attempt_id)
             settled.append(
--- a/packages/state/radishtray_state/tests/test_crash_suspects.py
+++ b/packages/state/radishtray_state/tests/test_crash_suspects.py
@@ -8,7 +8,7 @@
     ManualClock,
     SuspectVerdict,
     fingerprint,
-    suspect_host,
+    suspect_hosts,
 )
 
 _RUN = SuspectVerdict.RUN
@@ -58,7 +58,7 @@
     ("case", "second", "blocked"),
     [
         ("only suspect", [1, 8, 9], {1}),
-        ("two suspects", [1, 2, 9], set()),
+        ("another suspect started beside it", [1, 2, 9], {1}),
         ("no suspect", [8, 9], set()),
     ],
 )
@@ -79,8 +79,20 @@
     assert all(suspects.check(f) is _RUN for f in (1, 2, 8, 9))
 
 
+def test_news_during_a_run_neither_blocks_nor_protects() -> None:
+    suspects = CrashSuspects(ManualClock())
+    suspects.started(8)
+    assert suspects.check(1, crash_count=1) is _RUN
+    suspects.started(1)
+    suspects.merge([CrashSuspect(8, 1, 60), CrashSuspect(1, 1, 60)])
+    suspects.upstream_crashed()
+    assert (suspects.crashes(1), suspects.crashes(8)) == (2, 1)
+
+
 def test_a_crash_of_a_blocked_request_blocks_no_suspect_beside_it() -> None:
     _, suspects = _after_crash(1, 2)
+    suspects.started(2)
+    suspects.started(1)
     suspects.merge([CrashSuspect(1, 2, 60)])
     suspects.upstream_crashed([1, 2])
     assert (suspects.crashes(1), suspects.crashes(2)) == (2, 1)
@@ -126,22 +138,30 @@
         assert suspects.crashes(news[0]) == crashes, case
 
 
-@pytest.mark.parametrize("delay_s", [0.0, 0.5, 3.0, 15.0, 59.0])
+@pytest.mark.parametrize(
+    ("case", "delay_s", "freeze_s"),
+    [
+        ("no delay", 0.0, 0.0),
+        ("usual delay", 0.5, 0.0),
+        ("always 9 s", 9.0, 0.0),
+        ("always 15 s", 15.0, 0.0),
+        ("once 59 s", 0.5, 59.0),
+    ],
+)
 def test_gossip_between_peers_does_not_keep_a_crash_for_ever(
-    delay_s: float,
+    case: str, delay_s: float, freeze_s: float
 ) -> None:
     clock, first = _after_crash(1)
     peers = [first, CrashSuspects(clock), CrashSuspects(clock)]
-    for _ in range(40):
+    while clock.monotonic() < 300:
         news = [peer.export() for peer in peers]
-        clock.advance(delay_s + 0.1)
+        assert all(s.ttl_s < 60 for entries in news for s in entries)
+        clock.advance(delay_s + 0.1 + freeze_s)
+        freeze_s = 0.0
         for peer in peers:
             for entries in news:
                 peer.merge(entries)
-        if clock.monotonic() > 300:
-            break
-    clock.advance(max(0.0, 300 - clock.monotonic()))
-    assert [peer.crashes(1) for peer in peers] == [0, 0, 0]
+    assert [peer.crashes(1) for peer in peers] == [0, 0, 0], case
 
 
 def test_memory_is_bounded_and_blocked_entries_go_last() -> None:
@@ -163,12 +183,11 @@
     assert {len(page) for page in pages} == {8}
     assert all(99 in {s.fingerprint for s in page} for page in pages)
     assert len({s.fingerprint for page in pages for s in page}) == 31
-    assert {s.ttl_s for page in pages for s in page} == {59.0}
+    assert {s.ttl_s for page in pages for s in page} == {59.9}
 
 
-def test_every_sender_chooses_the_same_host_for_a_suspect() -> None:
+def test_every_sender_asks_the_same_host_first_for_a_suspect() -> None:
     nodes = [f"n{i}" for i in range(20)]
-    hosts = {suspect_host(f, nodes) for f in range(200)}
-    assert suspect_host(5, nodes) == suspect_host(5, reversed(nodes))
-    assert len(hosts) == 20
-    assert suspect_host(5, []) is None
+    assert suspect_hosts(5, nodes) == suspect_hosts(5, reversed(nodes))
+    assert sorted(suspect_hosts(5, nodes)) == sorted(nodes)
+    assert len({suspect_hosts(f, nodes)[0] for f in range(200)}) == 20
