--- a/packages/state/radishtray_state/_crash_suspects.py
+++ b/packages/state/radishtray_state/_crash_suspects.py
@@ -131,6 +131,12 @@
     return sorted(node_ids, key=weight)
 
 
+def suspect_host(suspect: int, node_ids: Iterable[str]) -> str | None:
+    """Returns the node to ask first, or None; see `suspect_hosts`."""
+    hosts = suspect_hosts(suspect, node_ids)
+    return hosts[0] if hosts else None
+
+
 class CrashSuspects:
     """Suspects known to a node and the requests running on its upstream."""
 
--- a/packages/state/radishtray_state/tests/test_crash_suspects.py
+++ b/packages/state/radishtray_state/tests/test_crash_suspects.py
@@ -8,6 +8,7 @@
     ManualClock,
     SuspectVerdict,
     fingerprint,
+    suspect_host,
     suspect_hosts,
 )
 
@@ -191,3 +192,5 @@
     assert suspect_hosts(5, nodes) == suspect_hosts(5, reversed(nodes))
     assert sorted(suspect_hosts(5, nodes)) == sorted(nodes)
     assert len({suspect_hosts(f, nodes)[0] for f in range(200)}) == 20
+    assert suspect_host(5, nodes) == suspect_hosts(5, nodes)[0]
+    assert suspect_host(5, []) is None
--- a/packages/transport/radishtray_transport/__init__.py
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -1,1 +1,76 @@
 """Twisted sockets for HTTP, node connections, gossip and the platform."""
+
+from radishtray_transport._gossip_codec import (
+    MAX_DATAGRAM_BYTES,
+    DatagramFault,
+    decode_datagram,
+    decode_payload,
+    encode_datagram,
+)
+from radishtray_transport._gossip_socket import GossipCounters, GossipSocket
+from radishtray_transport._http_client import (
+    HeaderList,
+    HttpAnswer,
+    HttpClient,
+    PendingRequest,
+    RequestFailure,
+)
+from radishtray_transport._http_server import (
+    HttpLimits,
+    HttpRequest,
+    HttpServer,
+)
+from radishtray_transport._node_connection import (
+    ConnectionEvents,
+    NodeConnection,
+    NodeIdentity,
+    NodeListener,
+    Signer,
+    open_node_connection,
+)
+from radishtray_transport.platform_client import (
+    ABSENT_VERSION,
+    Conflict,
+    ListedObject,
+    NotFound,
+    OutcomeUnknown,
+    PlatformClient,
+    PlatformFault,
+    PlatformObject,
+    Rejected,
+    Unreachable,
+)
+
+__all__ = [
+    "ABSENT_VERSION",
+    "MAX_DATAGRAM_BYTES",
+    "Conflict",
+    "ConnectionEvents",
+    "DatagramFault",
+    "GossipCounters",
+    "GossipSocket",
+    "HeaderList",
+    "HttpAnswer",
+    "HttpClient",
+    "HttpLimits",
+    "HttpRequest",
+    "HttpServer",
+    "ListedObject",
+    "NodeConnection",
+    "NodeIdentity",
+    "NodeListener",
+    "NotFound",
+    "OutcomeUnknown",
+    "PendingRequest",
+    "PlatformClient",
+    "PlatformFault",
+    "PlatformObject",
+    "Rejected",
+    "RequestFailure",
+    "Signer",
+    "Unreachable",
+    "decode_datagram",
+    "decode_payload",
+    "encode_datagram",
+    "open_node_connection",
+]
