Fuzz the frame decoder

Cause: bytes from a peer must raise nothing but FrameError.

Change: property tests with split, truncated, damaged, random, oversized and deeply nested frames, and with false claims of length. A damaged frame that is accepted must be whole enough to be encoded again.

Seen and not changed here: a frame with both call and answer is accepted, because _check_nested returns after the call; text that is not UTF-8 is replaced, not rejected; a large frame in small pieces is copied again with each piece (1 MB in pieces of 100 bytes: 0.28 s of CPU).

--- /dev/null
+++ b/packages/protocol/radishtray_protocol/tests/test_frames_fuzz.py
@@ -0,0 +1,149 @@
+"""Guards against bytes of a peer that raise anything but `FrameError`."""
+
+import itertools
+import struct
+from contextlib import suppress
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishtray_protocol import FrameDecoder, FrameError, encode_frame
+from radishtray_protocol import wire as ttypes
+
+# The same examples every time, so that CI gives the same verdict.
+_FIXED = settings(derandomize=True, deadline=None, max_examples=300)
+
+_CONTEXT = ttypes.Context(b"r" * 16, 0, 5, 900, 3, 1, None, None, 7, 0)
+_ANSWER = ttypes.Answer(9, 200, ["a", "b"], b"body", 1, None, 4, 5, 6)
+_CALL = ttypes.Call(
+    9, "taquilla", "buy", "POST", "/é", ["a", "b"], b"body", _CONTEXT, 3
+)
+_STATES = ttypes.AttemptStates(
+    [
+        ttypes.AttemptState(1, ttypes.AttemptPhase.DONE, _ANSWER),
+        ttypes.AttemptState(2, ttypes.AttemptPhase.RUNNING, None),
+    ]
+)
+_FRAMES = [
+    ttypes.Frame(call=_CALL),
+    ttypes.Frame(answer=_ANSWER),
+    ttypes.Frame(attempt_states=_STATES),
+    ttypes.Frame(attempt_query=ttypes.AttemptQuery([1, 2, 2**62])),
+    ttypes.Frame(hello=ttypes.Hello("n", 1, b"x" * 16, 2, ["k"])),
+    ttypes.Frame(release_push=ttypes.ReleasePush(4, b"{}", {"d": b"t"})),
+    ttypes.Frame(ping=ttypes.Ping(1)),
+]
+_ENCODED = [encode_frame(frame) for frame in _FRAMES]
+_STREAM = b"".join(_ENCODED)
+
+
+def _decode(*chunks: bytes) -> list[ttypes.Frame]:
+    frames: list[ttypes.Frame] = []
+    decoder = FrameDecoder(max_frame_bytes=4096)
+    for chunk in chunks:
+        decoder.feed(chunk, frames.append)
+    return frames
+
+
+def _prefixed(body: bytes) -> bytes:
+    return struct.pack("!I", len(body)) + body
+
+
+@_FIXED
+@given(st.lists(st.integers(0, len(_STREAM)), max_size=8))
+def test_frames_do_not_depend_on_how_the_stream_is_split(
+    cuts: list[int],
+) -> None:
+    edges = [0, *sorted(cuts), len(_STREAM)]
+    chunks = [_STREAM[a:b] for a, b in itertools.pairwise(edges)]
+    assert _decode(*chunks) == _FRAMES
+
+
+def test_single_bytes_and_truncation_give_whole_frames_only() -> None:
+    assert _decode(*(bytes([byte]) for byte in _STREAM)) == _FRAMES
+    for size in range(len(_STREAM)):
+        frames = _decode(_STREAM[:size])
+        assert frames == _FRAMES[: len(frames)]
+        whole = sum(map(len, _ENCODED[: len(frames) + 1]))
+        assert size < whole
+
+
+@_FIXED
+@given(
+    encoded=st.sampled_from(_ENCODED),
+    damage=st.lists(
+        st.tuples(st.integers(4, 400), st.integers(0, 255)),
+        min_size=1,
+        max_size=4,
+    ),
+    cut=st.integers(0, 30),
+)
+def test_damaged_frames_raise_only_the_typed_error_or_are_whole(
+    encoded: bytes, damage: list[tuple[int, int]], cut: int
+) -> None:
+    body = bytearray(encoded)
+    for position, value in damage:
+        body[position % len(body)] = value
+    body = body[4 : len(body) - cut]
+    with suppress(FrameError):
+        for frame in _decode(_prefixed(bytes(body))):
+            encode_frame(frame)
+
+
+@_FIXED
+@given(st.binary(max_size=200))
+def test_random_bytes_raise_only_the_typed_error(data: bytes) -> None:
+    with suppress(FrameError):
+        _decode(data)
+    with suppress(FrameError):
+        _decode(_prefixed(data))
+
+
+@pytest.mark.parametrize(
+    ("case", "data", "reason"),
+    [
+        ("oversized", struct.pack("!I", 4097), "oversized"),
+        ("largest length", b"\xff" * 4, "oversized"),
+        ("empty", _prefixed(b""), "malformed"),
+        ("no message", _prefixed(b"\x00"), "malformed"),
+        ("deep structs", _prefixed(b"\x0c\x00\x63" * 1300), "malformed"),
+        (
+            "deep lists",
+            _prefixed(b"\x0f\x00\x63" + b"\x0f\x00\x00\x00\x01" * 800),
+            "malformed",
+        ),
+        (
+            "claimed string of 2 GB",
+            _prefixed(b"\x0c\x00\x01\x0b\x00\x01\x7f\xff\xff\xff"),
+            "malformed",
+        ),
+        (
+            "claimed list of 2**31 ids",
+            _prefixed(b"\x0c\x00\x06\x0f\x00\x01\x0a\x7f\xff\xff\xff"),
+            "malformed",
+        ),
+        (
+            "negative list",
+            _prefixed(b"\x0c\x00\x06\x0f\x00\x01\x0a\xff\xff\xff\xff"),
+            "malformed",
+        ),
+        (
+            "missing field",
+            _prefixed(b"\x0c\x00\x08\x00\x00"),
+            "malformed",
+        ),
+    ],
+)
+def test_a_bad_frame_is_rejected_at_its_position(
+    case: str, data: bytes, reason: str
+) -> None:
+    with pytest.raises(FrameError) as rejected:
+        _decode(_ENCODED[0] + data)
+    assert rejected.value.reason == reason, case
+    assert rejected.value.offset == len(_ENCODED[0])
+
+
+def test_text_that_is_not_utf_8_is_replaced() -> None:
+    damaged = _ENCODED[0].replace(b"taquilla", b"\xff" * 8)
+    assert _decode(damaged)[0].call.service_name == "\ufffd" * 8
