--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -29,6 +29,7 @@
     SuspectVerdict,
     fingerprint,
     suspect_host,
+    suspect_hosts,
 )
 from radishtray_state._gossip import (
     Datagram,
@@ -195,4 +196,5 @@
     "retry_rule",
     "selection_policy",
     "suspect_host",
+    "suspect_hosts",
 ]
