Add a retry baseline of three retries at each hop

Cause: measurements compared the product with a baseline that retried within the same budget, so it did not show how retries multiply. Change: the setting retry-policy per_hop, for measurements only.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -165,6 +165,7 @@
             self.metrics,
             self._unknown,
             self._link_to,
+            settings.retry_policy == "budget",
         )
         self._store = ObjectStore(
             PlatformClient(
--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -17,6 +17,7 @@
     CrashSuspect,
     CrashSuspects,
     KeyRouter,
+    PerHopRetryPolicy,
     RefusalReason,
     RetryPolicy,
     RetryThrottle,
@@ -42,6 +43,7 @@
         selector: Choice of a node.
         keys: Routing of at-most-once keys.
         retry_policy: Decides about further attempts.
+        is_retry_bound: Whether retries spend the request's budget.
         metrics: Counters of this node.
         unknown: Reports of unknown outcomes.
         generation: Generation of the configuration in force.
@@ -61,6 +63,7 @@
         "_throttle",
         "clock",
         "generation",
+        "is_retry_bound",
         "keys",
         "metrics",
         "retry_policy",
@@ -82,7 +85,7 @@
         metrics: Metrics,
         unknown: UnknownOutcomes,
         link_factory: LinkFactory,
-        retry_policy: RetryPolicy | None = None,
+        is_retry_bound: bool = True,
     ) -> None:
         """Starts without links.
 
@@ -98,7 +101,8 @@
             metrics: Counters of this node.
             unknown: Receives reports of unknown outcomes.
             link_factory: Creates the link to a node.
-            retry_policy: Decides about retries; the default policy if None.
+            is_retry_bound: Whether retries spend the request's budget; without
+                it each hop retries three times, as a baseline.
         """
         self._node_id = node_id
         self.clock = clock
@@ -109,7 +113,12 @@
         self.unknown = unknown
         self.generation = 0
         self._throttle = RetryThrottle()
-        self.retry_policy = retry_policy or RetryPolicy(rng, self._throttle)
+        self.is_retry_bound = is_retry_bound
+        self.retry_policy: RetryPolicy | PerHopRetryPolicy = (
+            RetryPolicy(rng, self._throttle)
+            if is_retry_bound
+            else PerHopRetryPolicy()
+        )
         self._rng = rng
         self._suspects = suspects
         self._server = server
--- a/packages/node/radishtray_node/_outgoing_call.py
+++ b/packages/node/radishtray_node/_outgoing_call.py
@@ -172,7 +172,9 @@
             self._finish(CallResult.refused(route.reason, retry_key))
 
     def _send(self, node_id: str, is_retry: bool) -> None:
-        grant = self._request.ledger.begin(is_retry)
+        grant = self._request.ledger.begin(
+            is_retry and self._router.is_retry_bound
+        )
         if grant is None:
             self._refused_here(RefusalReason.NO_UPSTREAM)
             return
--- a/packages/node/radishtray_node/_settings.py
+++ b/packages/node/radishtray_node/_settings.py
@@ -163,6 +163,7 @@
     Setting("drain_time", _seconds, "30", "s", "Longest time that a graceful shutdown waits for running requests."),
     Setting("admission_policy", _one_of(sorted(ADMISSION_POLICIES)), "adaptive", "", "Admission policy; all but adaptive are for measurements."),
     Setting("selection_policy", _one_of(sorted(SELECTION_POLICIES)), "adaptive", "", "Selection policy; all but adaptive are for measurements."),
+    Setting("retry_policy", _one_of(("budget", "per_hop")), "budget", "", "Retry policy; per_hop is a baseline for measurements without a bound."),
     Setting("log_level", _one_of(("debug", "info", "warning", "error")), "info", "", "Lowest level of log lines."),
 )  # fmt: skip
 
--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -100,6 +100,7 @@
 from radishtray_state._retry_budget import AttemptGrant, RetryLedger
 from radishtray_state._retry_policy import (
     RETRY_RULES,
+    PerHopRetryPolicy,
     RetryAdvice,
     RetryDenial,
     RetryPolicy,
@@ -163,6 +164,7 @@
     "MembershipParameters",
     "OutcomeFamily",
     "OutstandingAttempts",
+    "PerHopRetryPolicy",
     "RefusalReason",
     "ReleasePullPlan",
     "ReleaseTracker",
--- a/packages/state/radishtray_state/_retry_policy.py
+++ b/packages/state/radishtray_state/_retry_policy.py
@@ -338,3 +338,38 @@
         doublings = min(retries, _MAX_DOUBLINGS)
         limit_s = min(self._base_delay_s * 2.0**doublings, self._max_delay_s)
         return self._random.random() * limit_s
+
+
+_RETRIES_PER_HOP = 3
+
+
+class PerHopRetryPolicy:
+    """Retries any failure three times at each hop, at once.
+
+    A baseline for measurements: it has no budget, no throttle and no pause,
+    so retries multiply along the chain. At-most-once kinds still wait for a
+    confirmed `not_run`.
+    """
+
+    __slots__ = ()
+
+    def decide(
+        self,
+        outcome: RefusalReason | int,
+        *,
+        is_idempotent: bool,
+        is_at_most_once: bool,
+        deadline_s: float,
+        budget: int,
+        retries: int = 0,
+        crashes: int = 0,
+        expected_s: float = 0.0,
+    ) -> RetryVerdict:
+        """Decides about one failed attempt; see `RetryPolicy.decide`."""
+        del budget, crashes, expected_s
+        is_not_run = isinstance(outcome, RefusalReason) and outcome.is_not_run
+        if not is_not_run and (is_at_most_once or not is_idempotent):
+            return RetryVerdict(0.0, RetryDenial.NOT_IDEMPOTENT)
+        if retries >= _RETRIES_PER_HOP or deadline_s <= 0:
+            return RetryVerdict(0.0, RetryDenial.BUDGET)
+        return RetryVerdict(0.0, None)
