Number slot tables themselves instead of by platform version

Cause: PlatformClient treats versions as opaque text, but a promise ends and an older table is ignored by comparing numbers. Change: the table carries a revision that each conditional write raises; the platform's version is only the condition of a put. The in-memory platform's versions have no order. If the object was deleted, a driver writes back the newest table it knows. Ruled out: int() of the platform's version, which relies on what the platform does not promise.

--- a/packages/coordination/radishtray_coordination/_slot_driver.py
+++ b/packages/coordination/radishtray_coordination/_slot_driver.py
@@ -72,8 +72,8 @@
     """An object as the platform returned it."""
 
     @property
-    def version(self) -> int:
-        """Increases with every change of the object."""
+    def version(self) -> Any:
+        """Differs after every change; says nothing about order."""
         ...
 
     @property
@@ -90,25 +90,27 @@
         ...
 
     def put(
-        self, name: str, value: bytes, version: int | None
+        self, name: str, value: bytes, version: Any
     ) -> "Deferred[Result[Any, Any]]":
         """Replaces the object at a version; None creates it."""
         ...
 
 
 class _Read:
-    """One state of the object; version -1 if it does not exist."""
+    """One state of the object.
+
+    The version is the table's revision, or -1 if the object does not exist.
+    The condition is the platform's version, or None without one.
+    """
 
-    __slots__ = ("table", "version")
+    __slots__ = ("condition", "table", "version")
 
-    def __init__(self, version: int, table: SlotTable) -> None:
+    def __init__(
+        self, version: int, table: SlotTable, condition: Any = None
+    ) -> None:
         self.version = version
         self.table = table
-
-    @property
-    def condition(self) -> int | None:
-        """The version that a put is conditional on."""
-        return None if self.version < 0 else self.version
+        self.condition = condition
 
 
 class SlotDriver:
@@ -201,7 +203,7 @@
 
     @property
     def version(self) -> int:
-        """Version of the newest table seen; -1 before the first."""
+        """Revision of the newest table seen; -1 before the first."""
         return self._read.version
 
     def start(self) -> None:
@@ -348,7 +350,8 @@
         cuts = boundaries(read.table, planned, self._owner.me)
         if not self._owner.promise(self._service, read.version, cuts):
             return False
-        value = encode_slot_table(planned)
+        revision = max(read.version, 0) + 1
+        value = encode_slot_table(SlotTable(planned.slots, revision))
         result = await self._call(
             self._platform.put(self._name, value, read.condition)
         )
@@ -360,15 +363,18 @@
         if result is None:
             return None
         if result.is_error():
-            missing = self._is_missing(result.error)
-            return _Read(-1, SlotTable()) if missing else None
-        if result.ok.version == self._read.version:
+            if not self._is_missing(result.error):
+                return None
+            # After a deletion, the newest known table still holds the grants.
+            return _Read(self._read.version, self._read.table)
+        if result.ok.version == self._read.condition:
             return self._read
         decoded = decode_slot_table(result.ok.value)
         if decoded.is_error():
             _LOG.error("%s cannot be read: %s", self._name, decoded.error)
             return None
-        return _Read(result.ok.version, decoded.ok)
+        table = decoded.ok
+        return _Read(table.revision, table, result.ok.version)
 
     async def _call(
         self, call: Deferred[Result[Any, Any]]
--- a/packages/coordination/radishtray_coordination/tests/test_slot_driver.py
+++ b/packages/coordination/radishtray_coordination/tests/test_slot_driver.py
@@ -106,6 +106,13 @@
     bench.run(60)
 
 
+def deleted(bench: Bench) -> None:
+    bench.platform.objects.clear()
+    bench.run(1_200)
+    assert bench.platform.objects
+    assert bench.drivers[bench.first].table.slots[0][0].from_ms < START_MS
+
+
 def lost_answers(bench: Bench) -> None:
     bench.platform.loss = 0.3
     bench.run(7_200)
@@ -146,7 +153,10 @@
     bench.run(70)
 
 
+START_MS = ManualClock().wall_ms() + 20_000
+
 CASES = {
+    "object deleted": (deleted, [32, 32], 64),
     "start": (nothing, [32, 32], 64),
     "outage within the horizon": (outage, [32, 32], 64),
     "outage past the horizon": (long_outage, [32, 32], 0),
--- a/packages/protocol/radishtray_protocol/_slot_codec.py
+++ b/packages/protocol/radishtray_protocol/_slot_codec.py
@@ -1,6 +1,6 @@
 """JSON of the platform object `keys/<service>`.
 
-    {"format": 1,
+    {"format": 1, "revision": 12,
      "owners": [["node-a", 7], ...],
      "slots": [[[0, 1700000000000, 1700003600000], ...], ...]}
 
@@ -39,6 +39,7 @@
     index = {owner: number for number, owner in enumerate(owners)}
     document = {
         "format": _FORMAT,
+        "revision": table.revision,
         "owners": [[o.node_id, o.incarnation] for o in owners],
         "slots": [
             [[index[i.owner], i.from_ms, i.until_ms] for i in slot]
@@ -82,6 +83,9 @@
 def _table(document: Any) -> SlotTable:
     if not isinstance(document, dict) or document.get("format") != _FORMAT:
         raise _FaultError("format", f"the format is not {_FORMAT}")
+    revision = document.get("revision")
+    if not isinstance(revision, int) or revision < 0:
+        raise _FaultError("revision", "a number from 0 on is expected")
     owners = [
         _owner(f"owners[{number}]", entry)
         for number, entry in enumerate(_list("owners", document.get("owners")))
@@ -89,13 +93,14 @@
     slots = _list("slots", document.get("slots"))
     if not slots:
         raise _FaultError("slots", "no slots are listed")
-    return SlotTable(
+    intervals = [
         [
             _interval(f"slots[{number}][{place}]", entry, owners)
             for place, entry in enumerate(_list(f"slots[{number}]", slot))
         ]
         for number, slot in enumerate(slots)
-    )
+    ]
+    return SlotTable(intervals, revision)
 
 
 def _list(position: str, value: Any) -> list[Any]:
--- a/packages/protocol/radishtray_protocol/tests/test_slot_codec.py
+++ b/packages/protocol/radishtray_protocol/tests/test_slot_codec.py
@@ -14,7 +14,8 @@
     "not UTF-8": (b"\xff\xff\xff", "offset 0"),
     "not an object": (b"[]", "format"),
     "another format": (b'{"format": 2}', "format"),
-    "no owners": (b'{"format": 1}', "owners"),
+    "no revision": (b'{"format": 1}', "revision"),
+    "no owners": ({"owners": None}, "owners"),
     "owner without id": ({"owners": [["", 1]]}, "owners[0]"),
     "few slots": ({"slots": [[]]}, "slots"),
     "slot is no list": ({"slots": [1, *SLOTS[1:]]}, "slots[0]"),
@@ -29,7 +30,7 @@
 def test_fault_is_reported_with_its_position(
     fault: bytes | dict[str, object], position: str
 ) -> None:
-    valid = {"format": 1, "owners": [["a", 1]], "slots": SLOTS}
+    valid = {"format": 1, "revision": 1, "owners": [["a", 1]], "slots": SLOTS}
     is_raw = isinstance(fault, bytes)
     data = fault if is_raw else json.dumps({**valid, **fault}).encode()
     assert decode_slot_table(data).error.position == position
@@ -38,4 +39,6 @@
 def test_table_survives_the_codec() -> None:
     table = claim_free(SlotTable(), SlotOwner("a", 1), 2, 1_000)
     table = claim_free(table, SlotOwner("b", 1 << 62), 2, 2_000)
-    assert decode_slot_table(encode_slot_table(table)).ok == table
+    table = SlotTable(table.slots, 7)
+    decoded = decode_slot_table(encode_slot_table(table)).ok
+    assert decoded == table and decoded.revision == 7
--- a/packages/state/radishtray_state/_key_slots.py
+++ b/packages/state/radishtray_state/_key_slots.py
@@ -89,13 +89,19 @@
 class SlotTable:
     """The intervals of all 64 slots of one service, in order of issue time."""
 
-    __slots__ = ("_slots",)
+    __slots__ = ("_revision", "_slots")
 
-    def __init__(self, slots: Iterable[Iterable[SlotInterval]] = ()) -> None:
+    def __init__(
+        self,
+        slots: Iterable[Iterable[SlotInterval]] = (),
+        revision: int = 0,
+    ) -> None:
         """Takes 64 lists of intervals, or none for an empty table.
 
         Args:
             slots: One list for each slot, in order of issue time.
+            revision: Number of the write that made the table. The platform's
+                versions are opaque, so they do not tell which table is newer.
 
         Raises:
             ValueError: If the count is wrong or intervals overlap.
@@ -108,6 +114,12 @@
                 if right.from_ms < left.until_ms:
                     raise ValueError(f"slot {number}: intervals overlap")
         self._slots = lists
+        self._revision = revision
+
+    @property
+    def revision(self) -> int:
+        """Number of the write that made the table; 0 for a computed one."""
+        return self._revision
 
     @property
     def slots(self) -> tuple[SlotIntervals, ...]:
@@ -146,7 +158,7 @@
         return sum(1 for i in found if i is not None and i.owner == owner)
 
     def __eq__(self, other: object) -> bool:
-        """Compares all intervals."""
+        """Compares all intervals; the revision does not count."""
         return isinstance(other, SlotTable) and self._slots == other._slots
 
     def __hash__(self) -> int:
--- a/packages/testing/radishtray_testing/memory_platform.py
+++ b/packages/testing/radishtray_testing/memory_platform.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from enum import Enum
 from random import Random
+from zlib import crc32
 
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred
@@ -21,12 +22,12 @@
 
     __slots__ = ("name", "value", "version")
 
-    def __init__(self, name: str, version: int, value: bytes) -> None:
+    def __init__(self, name: str, version: str, value: bytes) -> None:
         """Takes the object's content.
 
         Args:
             name: Object name.
-            version: Increases with every change.
+            version: Differs after every change, in no order.
             value: Content.
         """
         self.name = name
@@ -41,6 +42,7 @@
     """The objects and the faults of all clients."""
 
     __slots__ = (
+        "_changes",
         "down",
         "loss",
         "objects",
@@ -64,6 +66,7 @@
         self.down = False
         self.loss = 0.0
         self.slowness_s = 0.01
+        self._changes = 0
         self.reads = 0
         self.writes = 0
 
@@ -73,13 +76,15 @@
         found = self.objects.get(name)
         return Ok(found) if found else Error(MemoryFault.NOT_FOUND)
 
-    def put(self, name: str, value: bytes, version: int | None) -> MemoryResult:
+    def put(self, name: str, value: bytes, version: str | None) -> MemoryResult:
         """Replaces an object at once if its version is the given one."""
         self.writes += 1
         present = self.objects.get(name)
         if (present.version if present else None) != version:
             return Error(MemoryFault.CONFLICT)
-        self.objects[name] = MemoryObject(name, (version or 0) + 1, value)
+        self._changes += 1
+        opaque = f"{crc32(b'%d' % self._changes):08x}"
+        self.objects[name] = MemoryObject(name, opaque, value)
         return Ok(self.objects[name])
 
     def delay_s(self) -> float:
@@ -124,7 +129,7 @@
         return answer
 
     def put(
-        self, name: str, value: bytes, version: int | None
+        self, name: str, value: bytes, version: str | None
     ) -> Deferred[MemoryResult]:
         """Replaces an object at a version; None creates it."""
         answer: Deferred[MemoryResult] = Deferred(_ignore)
@@ -132,7 +137,7 @@
         return answer
 
     def _put(
-        self, name: str, value: bytes, version: int | None
+        self, name: str, value: bytes, version: str | None
     ) -> MemoryResult:
         before = self._platform.objects.get(name)
         result = self._platform.put(name, value, version)
