--- a/packages/testing/radishtray_testing/_reference_texts.py
+++ b/packages/testing/radishtray_testing/_reference_texts.py
@@ -86,14 +86,15 @@
 
 INPUT_REASON_TEXTS: Final = {
     "body_too_large": "Answered 413; see `--max-body-bytes`.",
-    "malformed_request": "Answered 400; not HTTP/1.1, or the head exceeds `--max-head-bytes` or 100 headers.",
+    "head_too_large": "Answered 431; the head exceeds `--max-head-bytes` or 100 headers.",
+    "malformed_request": "Answered 400; not HTTP/1.1.",
     "slow_request": "Answered 408; the request did not arrive within `--request-time`.",
     "too_many_connections": "The connection was closed at once; see `--max-connections`.",
     "unauthorized": "Answered 401; the operators' listener got another token.",
 }  # fmt: skip
 
 CONNECTION_REASON_TEXTS: Final = {
-    "silent_connection": "No byte arrived for 1.5 s in spite of pings; the node reconnects.",
+    "silent_connection": "No reply to a ping for 0.8 s while attempts wait; the node reconnects.",
     "fenced": "The sender opened a newer connection, which replaces this one. The usual follower of `silent_connection` at the other node.",
     "duplicate_attempt": "An attempt arrived twice or out of turn and was ignored.",
     "handshake_timeout": "The peer did not authenticate within 5 s; it may be paused or overloaded.",
