--- a/packages/node/radishtray_node/tests/test_node_faults.py
+++ b/packages/node/radishtray_node/tests/test_node_faults.py
@@ -171,6 +171,19 @@
     bench.upstream.answer(b"second")
 
 
+def slow_link(bench: Bench) -> None:
+    """A round trip just below the bound of silence."""
+    bench.send()
+    for end in bench.ends():
+        end.delay_s = 0.7
+    bench.upstream.answer()
+    bench.send()
+    bench.run(1)
+    bench.upstream.answer(b"second")
+    bench.run(5)
+    assert len(bench.cluster.link_ends("b")) == 1
+
+
 def paused_receiver(bench: Bench) -> None:
     bench.send()
     bench.upstream.answer()
@@ -247,6 +260,7 @@
         ["done", "never_arrived"],
     ),
     "duplicate_call_frame": (duplicate_call_frame, ["done", "second"]),
+    "slow_link": (slow_link, ["done", "second"]),
     "paused_receiver": (paused_receiver, ["done", "never_arrived"]),
     "receiver_restarted": (restarted, ["node_lost"]),
     "receiver_gone_for_good": (gone_for_good, ["node_lost"]),
