--- a/packages/coordination/radishtray_coordination/_slot_driver.py
+++ b/packages/coordination/radishtray_coordination/_slot_driver.py
@@ -72,8 +72,8 @@
     """An object as the platform returned it."""
 
     @property
-    def version(self) -> int:
-        """Increases with every change of the object."""
+    def version(self) -> Any:
+        """Differs after every change; says nothing about order."""
         ...
 
     @property
@@ -90,31 +90,34 @@
         ...
 
     def put(
-        self, name: str, value: bytes, version: int | None
+        self, name: str, value: bytes, version: Any
     ) -> "Deferred[Result[Any, Any]]":
         """Replaces the object at a version; None creates it."""
         ...
 
 
 class _Read:
-    """One state of the object; version -1 if it does not exist."""
+    """One state of the object.
+
+    The version is the table's revision, or -1 if the object does not exist.
+    The condition is the platform's version, or None without one.
+    """
 
-    __slots__ = ("table", "version")
+    __slots__ = ("condition", "table", "version")
 
-    def __init__(self, version: int, table: SlotTable) -> None:
+    def __init__(
+        self, version: int, table: SlotTable, condition: Any = None
+    ) -> None:
         self.version = version
         self.table = table
-
-    @property
-    def condition(self) -> int | None:
-        """The version that a put is conditional on."""
-        return None if self.version < 0 else self.version
+        self.condition = condition
 
 
 class SlotDriver:
     """Claims, extends, balances and hands over the slots of one service."""
 
     __slots__ = (
+        "_address_bound",
         "_backoff_s",
         "_busy",
         "_clock",
@@ -187,6 +190,7 @@
         self._timer: IDelayedCall | None = None
         self._backoff_s = _FIRST_BACKOFF_S
         self._busy = False
+        self._address_bound = False
         self._wake_again = False
         self._leaving = False
         self._closed = False
@@ -199,7 +203,7 @@
 
     @property
     def version(self) -> int:
-        """Version of the newest table seen; -1 before the first."""
+        """Revision of the newest table seen; -1 before the first."""
         return self._read.version
 
     def start(self) -> None:
@@ -232,6 +236,14 @@
         self._dead.add(dead)
         self._schedule(self._spread())
 
+    def address_bound(self) -> None:
+        """Replaces earlier incarnations of this node without a peer's proof.
+
+        Call it after this process has bound the address that belongs to its
+        node id. A service with one member has no peer to see the handshake.
+        """
+        self._address_bound = True
+
     def receive_table(self, version: int, table: SlotTable) -> None:
         """Uses a table that a peer pushed."""
         self._use(_Read(version, table))
@@ -294,7 +306,7 @@
             return hand_over(read.table, me, members, self._highest)
         now_ms = self._clock.wall_ms()
         table = read.table
-        for dead in self._dead:
+        for dead in sorted(self._dead | self._predecessors(table)):
             table = replace_dead(table, dead, members, now_ms)
         if me in members:
             table = claim_free(table, me, len(members), now_ms)
@@ -303,6 +315,19 @@
             return read.table
         return prune(extend_horizon(table, me, now_ms), now_ms)
 
+    def _predecessors(self, table: SlotTable) -> set[SlotOwner]:
+        """Returns earlier incarnations of this node that own intervals."""
+        if not self._address_bound:
+            return set()
+        me = self._owner.me
+        return {
+            interval.owner
+            for slot in table.slots
+            for interval in slot
+            if interval.owner_id == me.node_id
+            and interval.incarnation < me.incarnation
+        }
+
     def _renewal_due(self, table: SlotTable, now_ms: int) -> bool:
         limit = now_ms + HORIZON_MS - RENEWAL_MS
         return any(
@@ -325,7 +350,8 @@
         cuts = boundaries(read.table, planned, self._owner.me)
         if not self._owner.promise(self._service, read.version, cuts):
             return False
-        value = encode_slot_table(planned)
+        revision = max(read.version, 0) + 1
+        value = encode_slot_table(SlotTable(planned.slots, revision))
         result = await self._call(
             self._platform.put(self._name, value, read.condition)
         )
@@ -337,13 +363,18 @@
         if result is None:
             return None
         if result.is_error():
-            missing = self._is_missing(result.error)
-            return _Read(-1, SlotTable()) if missing else None
+            if not self._is_missing(result.error):
+                return None
+            # After a deletion, the newest known table still holds the grants.
+            return _Read(self._read.version, self._read.table)
+        if result.ok.version == self._read.condition:
+            return self._read
         decoded = decode_slot_table(result.ok.value)
         if decoded.is_error():
             _LOG.error("%s cannot be read: %s", self._name, decoded.error)
             return None
-        return _Read(result.ok.version, decoded.ok)
+        table = decoded.ok
+        return _Read(table.revision, table, result.ok.version)
 
     async def _call(
         self, call: Deferred[Result[Any, Any]]
--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -8,6 +8,7 @@
 from radishtray_node._metrics import Metrics
 from radishtray_node._peer_link import PeerLink, SendFailure, SentAttempt
 from radishtray_node._timers import TimerWheel
+from radishtray_node._unknown_outcomes import UnknownOutcomes
 from radishtray_node._upstream_server import UpstreamServer
 from radishtray_protocol import RequestKind, wire
 from radishtray_state import (
@@ -16,6 +17,7 @@
     CrashSuspect,
     CrashSuspects,
     KeyRouter,
+    PerHopRetryPolicy,
     RefusalReason,
     RetryPolicy,
     RetryThrottle,
@@ -41,7 +43,9 @@
         selector: Choice of a node.
         keys: Routing of at-most-once keys.
         retry_policy: Decides about further attempts.
+        is_retry_bound: Whether retries spend the request's budget.
         metrics: Counters of this node.
+        unknown: Reports of unknown outcomes.
         generation: Generation of the configuration in force.
     """
 
@@ -59,11 +63,13 @@
         "_throttle",
         "clock",
         "generation",
+        "is_retry_bound",
         "keys",
         "metrics",
         "retry_policy",
         "selector",
         "timers",
+        "unknown",
     )
 
     def __init__(
@@ -77,8 +83,9 @@
         suspects: CrashSuspects,
         server: UpstreamServer,
         metrics: Metrics,
+        unknown: UnknownOutcomes,
         link_factory: LinkFactory,
-        retry_policy: RetryPolicy | None = None,
+        is_retry_bound: bool = True,
     ) -> None:
         """Starts without links.
 
@@ -92,8 +99,10 @@
             suspects: Crash suspects known to this node.
             server: Serves calls that stay at this node.
             metrics: Counters of this node.
+            unknown: Receives reports of unknown outcomes.
             link_factory: Creates the link to a node.
-            retry_policy: Decides about retries; the default policy if None.
+            is_retry_bound: Whether retries spend the request's budget; without
+                it each hop retries three times, as a baseline.
         """
         self._node_id = node_id
         self.clock = clock
@@ -101,9 +110,15 @@
         self.selector = selector
         self.keys = keys
         self.metrics = metrics
+        self.unknown = unknown
         self.generation = 0
         self._throttle = RetryThrottle()
-        self.retry_policy = retry_policy or RetryPolicy(rng, self._throttle)
+        self.is_retry_bound = is_retry_bound
+        self.retry_policy: RetryPolicy | PerHopRetryPolicy = (
+            RetryPolicy(rng, self._throttle)
+            if is_retry_bound
+            else PerHopRetryPolicy()
+        )
         self._rng = rng
         self._suspects = suspects
         self._server = server
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -22,7 +22,12 @@
 )
 
 _LOG = logging.getLogger(__name__)
-SILENCE_S = 1.5
+SILENCE_S = 0.8
+# A link without attempts is closed, so that a node keeps connections only to
+# the nodes that it really calls.
+IDLE_S = 60.0
+# An attempt that no connection has taken by then is tried elsewhere.
+_CONNECT_PATIENCE_S = 0.3
 _RECONNECT_S = 0.2
 # Refused or failed connections in a row after which attempts that were handed
 # to an earlier connection are given up.
@@ -88,8 +93,11 @@
         "_identity",
         "_is_closed",
         "_is_opening",
+        "_last_sent_s",
         "_on_control",
         "_on_rejected",
+        "_on_verified",
+        "_opening_since_s",
         "_outstanding",
         "_ping_sequence",
         "_pinged_s",
@@ -108,6 +116,7 @@
         identity: NodeIdentity,
         signer: Signer,
         on_control: Callable[[wire.Frame], None],
+        on_verified: Callable[[str, int], None],
         on_rejected: Callable[[str], None],
     ) -> None:
         """Prepares a link; it connects with the first frame.
@@ -119,6 +128,8 @@
             identity: This node.
             signer: Cluster keys.
             on_control: Receives frames other than answers.
+            on_verified: Called with the peer's node id and incarnation after
+                each handshake.
             on_rejected: Called with the reason of each rejected connection.
         """
         self.address = address
@@ -128,6 +139,7 @@
         self._signer = signer
         self._on_control = on_control
         self._on_rejected = on_rejected
+        self._on_verified = on_verified
         self._outstanding: OutstandingAttempts[SentAttempt, wire.Answer] = (
             OutstandingAttempts()
         )
@@ -138,6 +150,8 @@
         self._failures = 0
         self._ping_sequence = 0
         self._pinged_s: float | None = None
+        self._last_sent_s = 0.0
+        self._opening_since_s = 0.0
 
     @property
     def outstanding(self) -> int:
@@ -154,12 +168,19 @@
         connection = self._connection
         if connection is not None and connection.is_ready:
             self._hand_over(connection, attempt)
-        elif len(self._waiting) >= _MAX_WAITING or self._is_closed:
+        elif self._is_closed or self._is_unreachable():
             self._fail(attempt, SendFailure.NOT_RUN)
         else:
             self._waiting.append(attempt)
             self._open()
 
+    def _is_unreachable(self) -> bool:
+        """Whether waiting for a connection has no prospect."""
+        if len(self._waiting) >= _MAX_WAITING:
+            return True
+        opening_s = self._reactor.seconds() - self._opening_since_s
+        return self._is_opening and opening_s > _CONNECT_PATIENCE_S
+
     def send_control(self, frame: wire.Frame) -> None:
         """Sends a frame that needs no settlement."""
         connection = self._connection
@@ -184,11 +205,20 @@
             self._outstanding.give_up(attempt.call.attempt_id)
 
     def check_silence(self) -> None:
-        """Pings, and aborts a silent connection; call twice a second."""
+        """Pings a quiet connection and aborts a silent one.
+
+        Call four times a second. Only attempts that wait for an answer cause
+        pings, so the cost follows the calls and not the number of links.
+        """
         connection = self._connection
         if connection is None or not connection.is_ready:
             return
         now_s = self._reactor.seconds()
+        if not self._outstanding.outstanding:
+            self._pinged_s = None
+            if now_s - self._last_sent_s > IDLE_S:
+                connection.close()
+            return
         if self._pinged_s is None:
             self._pinged_s = now_s
             self._ping_sequence += 1
@@ -200,18 +230,25 @@
     def close(self) -> None:
         """Closes the connection; attempts not handed over fail as not run."""
         self._is_closed = True
+        self._fail_waiting()
+        if self._connection is not None:
+            self._connection.close()
+
+    def _fail_waiting(self) -> None:
+        """Fails what no connection has taken; nothing of it was sent."""
         waiting = self._waiting
         self._waiting = []
         for item in waiting:
             if isinstance(item, SentAttempt):
                 self._fail(item, SendFailure.NOT_RUN)
-        if self._connection is not None:
-            self._connection.close()
 
     def _open(self) -> None:
         if self._is_opening or self._is_closed:
             return
         self._is_opening = True
+        self._pinged_s = None
+        self._opening_since_s = self._reactor.seconds()
+        self._timers.after(_CONNECT_PATIENCE_S, self._fail_waiting)
         self._connection = open_node_connection(
             self._reactor,
             self.address,
@@ -230,6 +267,7 @@
             return
         attempt.call.attempt_id = attempt_id
         attempt.is_handed_over = True
+        self._last_sent_s = self._reactor.seconds()
         connection.send(wire.Frame(call=attempt.call))
 
     def connection_ready(self, connection: NodeConnection) -> None:
@@ -249,6 +287,7 @@
         if reopened.query:
             query = wire.AttemptQuery(attempt_ids=reopened.query)
             connection.send(wire.Frame(attempt_query=query))
+        self._on_verified(connection.peer.node_id, connection.peer.incarnation)
         waiting = self._waiting
         self._waiting = []
         for item in waiting:
@@ -318,11 +357,7 @@
         self._is_opening = False
         self._connection = None
         self._failures += 1
-        waiting = self._waiting
-        self._waiting = []
-        for item in waiting:
-            if isinstance(item, SentAttempt):
-                self._fail(item, SendFailure.NOT_RUN)
+        self._fail_waiting()
         if not self._outstanding.outstanding:
             return
         if self._failures >= _GIVE_UP_FAILURES:
--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -29,6 +29,7 @@
     SuspectVerdict,
     fingerprint,
     suspect_host,
+    suspect_hosts,
 )
 from radishtray_state._gossip import (
     Datagram,
@@ -99,6 +100,7 @@
 from radishtray_state._retry_budget import AttemptGrant, RetryLedger
 from radishtray_state._retry_policy import (
     RETRY_RULES,
+    PerHopRetryPolicy,
     RetryAdvice,
     RetryDenial,
     RetryPolicy,
@@ -162,6 +164,7 @@
     "MembershipParameters",
     "OutcomeFamily",
     "OutstandingAttempts",
+    "PerHopRetryPolicy",
     "RefusalReason",
     "ReleasePullPlan",
     "ReleaseTracker",
@@ -195,4 +198,5 @@
     "retry_rule",
     "selection_policy",
     "suspect_host",
+    "suspect_hosts",
 ]
--- a/packages/testing/radishtray_testing/node_builders.py
+++ b/packages/testing/radishtray_testing/node_builders.py
@@ -210,9 +210,10 @@
             self.suspects,
             self.server,
             self.metrics,
+            self.unknown,
             self._link_to,
         )
-        self.entry = Entry(self.router, lambda: cluster.document, self.unknown)
+        self.entry = Entry(self.router, lambda: cluster.document)
         api = UpstreamApi(
             self.router, lambda: cluster.document, self.local, self.running
         )
@@ -277,6 +278,7 @@
             self.identity,
             self.signer,
             self.on_control.append,
+            lambda _node_id, _incarnation: None,
             lambda reason: self.metrics.connections.labels(reason).inc(),
         )
         self.links[node_id] = link
