Split the graceful shutdown and control frames from the application

Refusals of a key by its owner carried no key to repeat the request with. The default garbage collection threshold runs a collection every few calls. Change: GracefulShutdown and ControlFrames; a refused first send gets a fresh key; thresholds of 20,000, 20 and 100 after gc.freeze(). Ruled out: a retry key after a resend, since an earlier send could still run.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -11,6 +11,7 @@
 
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
+from radishtray_node._control_frames import ControlFrames
 from radishtray_node._entry import Entry
 from radishtray_node._fleet import Fleet
 from radishtray_node._local_upstream import LocalUpstream
@@ -21,6 +22,7 @@
 from radishtray_node._peer_link import PeerLink
 from radishtray_node._running_request import RunningRequests
 from radishtray_node._settings import Settings
+from radishtray_node._shutdown import GracefulShutdown
 from radishtray_node._slot_service import SlotService
 from radishtray_node._timers import TimerWheel
 from radishtray_node._unknown_outcomes import UnknownOutcomes
@@ -39,7 +41,6 @@
 from radishtray_transport import (
     HttpLimits,
     HttpServer,
-    NodeConnection,
     NodeIdentity,
     NodeListener,
     PlatformClient,
@@ -49,11 +50,10 @@
 _EXPIRE_INTERVAL_S = 0.05
 _SILENCE_INTERVAL_S = 0.25
 _SECOND_S = 1.0
-_DRAIN_POLL_S = 0.05
 _LOOPBACK = "127.0.0.1"
-# Idle callers learn from a closed connection that the node has gone; requests
-# that arrive until then are refused as not run.
-_LINGER_S = 0.5
+# With the default of 700 a collection runs every few calls, and each full one
+# visits every connection.
+_GC_THRESHOLDS = (20_000, 20, 100)
 
 
 class Application:
@@ -73,11 +73,10 @@
 
     __slots__ = (
         "_caller_listener",
+        "_control",
         "_document",
-        "_drained",
         "_entry",
         "_fleet",
-        "_is_draining",
         "_links",
         "_loops",
         "_node_listener",
@@ -87,6 +86,7 @@
         "_replaced",
         "_rng",
         "_running",
+        "_shutdown",
         "_slots",
         "_stopped",
         "_store",
@@ -117,7 +117,9 @@
         self.metrics = Metrics()
         self._reactor = reactor
         self._document: Document | None = None
-        self._is_draining = False
+        self._shutdown = GracefulShutdown(
+            reactor, self.clock, settings.drain_time, self._is_idle
+        )
         self._stopped: Deferred[None] = Deferred()
         self._timers = TimerWheel(reactor)
         self._running = RunningRequests()
@@ -183,6 +185,7 @@
             self.send_control,
             self.router.slot_table_refreshed,
         )
+        self._control = ControlFrames(self._slots, lambda: self.fleet)
         self._rng = rng
         self._replaced: dict[str, SlotOwner] = {}
         self._fleet: Fleet | None = None
@@ -217,7 +220,7 @@
             "operator", operator_api.handle, HttpLimits(connections=64)
         )
         self._node_server = NodeServer(
-            self.clock, self.server, self.metrics, self._control_received
+            self.clock, self.server, self.metrics, self._control.received
         )
         self._node_listener = NodeListener(
             self._reactor,
@@ -256,6 +259,7 @@
         # not visit it.
         gc.collect()
         gc.freeze()
+        gc.set_threshold(*_GC_THRESHOLDS)
 
     def _join_fleet(self) -> Fleet:
         """Opens the gossip socket; the node listener must be open."""
@@ -340,7 +344,7 @@
             address,
             self.identity,
             self.settings.cluster_keys,
-            lambda frame: self._reply_received(node_id, frame),
+            lambda frame: self._control.replied(node_id, frame),
             self._peer_verified,
             lambda reason: self.metrics.connections.labels(reason).inc(),
         )
@@ -367,30 +371,6 @@
     def _upstream_crashed(self) -> None:
         self.server.upstream_crashed()
 
-    def _control_received(
-        self, connection: NodeConnection, frame: wire.Frame
-    ) -> None:
-        """Answers a control frame of another node."""
-        if frame.slot_table_pull is not None:
-            reply = self._slots.table_reply(frame.slot_table_pull)
-            if reply is not None:
-                connection.send(reply)
-        elif frame.slot_table_push is not None:
-            self._slots.table_received(frame.slot_table_push)
-        elif frame.key_records is not None:
-            connection.send(self._slots.records_received(frame.key_records))
-        elif frame.release_pull is not None:
-            connection.send(self.fleet.release_pulled(frame.release_pull))
-
-    def _reply_received(self, node_id: str, frame: wire.Frame) -> None:
-        """Takes the reply of a node to a control frame."""
-        if frame.slot_table_push is not None:
-            self._slots.table_received(frame.slot_table_push)
-        elif frame.key_records_ack is not None:
-            self._slots.records_acknowledged(frame.key_records_ack)
-        elif frame.release_push is not None:
-            self.fleet.release_received(node_id, frame.release_push)
-
     def reload_keys(self) -> None:
         """Reads the cluster keys file again."""
         path = self.settings.cluster_keys_file
@@ -422,7 +402,7 @@
             "failure_domain": self.settings.failure_domain,
             "service": self.upstream.service,
             "generation": self.router.generation,
-            "draining": self._is_draining,
+            "draining": self._shutdown.is_started,
             "members": self.fleet.membership.live_count,
             "members_serving": sum(
                 member.takes_requests
@@ -440,34 +420,24 @@
 
     def drain(self) -> None:
         """Starts the graceful shutdown; safe to repeat."""
-        if self._is_draining:
+        if self._shutdown.is_started:
             return
-        self._is_draining = True
         _LOG.info("draining")
+        self._shutdown.start()
         self.server.is_draining = True
         self._entry.is_draining = True
         self.key_owner.stop_accepting()
         self.fleet.drain()
-        self._drained: Deferred[None] = Deferred()
-        left = self._slots.leave(self._drained)
+        left = self._slots.leave(self._shutdown.drained)
         left.addBoth(lambda _: self.close())
-        deadline_s = self.clock.monotonic() + self.settings.drain_time
-        self._reactor.callLater(_LINGER_S, self._check_drained, deadline_s)
 
-    def _check_drained(self, deadline_s: float) -> None:
-        is_idle = not (
+    def _is_idle(self) -> bool:
+        """Whether no request is unfinished at this node."""
+        return not (
             self._entry.active
             or self.server.unfinished
             or self.router.outstanding
         )
-        if is_idle or self.clock.monotonic() >= deadline_s:
-            if not is_idle:
-                _LOG.warning("drain time is over with unfinished requests")
-            self._drained.callback(None)
-        else:
-            self._reactor.callLater(
-                _DRAIN_POLL_S, self._check_drained, deadline_s
-            )
 
     @property
     def stopped(self) -> "Deferred[None]":
--- a/packages/node/radishtray_node/_call_result.py
+++ b/packages/node/radishtray_node/_call_result.py
@@ -20,9 +20,17 @@
         body: The whole body.
         refusal: Reason, if this is a refusal.
         crashed: Whether the upstream ended while it ran the request.
+        retry_key: Key with which a refused request can be sent again.
     """
 
-    __slots__ = ("body", "crashed", "headers", "refusal", "status")
+    __slots__ = (
+        "body",
+        "crashed",
+        "headers",
+        "refusal",
+        "retry_key",
+        "status",
+    )
 
     def __init__(
         self,
@@ -31,8 +39,10 @@
         body: bytes,
         refusal: RefusalReason | None = None,
         crashed: bool = False,
+        retry_key: str | None = None,
     ) -> None:
         """Holds the parts of a result."""
+        self.retry_key = retry_key
         self.status = status
         self.headers = headers
         self.body = body
@@ -70,7 +80,14 @@
                 "text": reason.text,
             }
         )
-        return cls(reason.http_status, headers, body.encode(), reason, crashed)
+        return cls(
+            reason.http_status,
+            headers,
+            body.encode(),
+            reason,
+            crashed,
+            retry_key,
+        )
 
     @classmethod
     def from_wire(cls, answer: wire.Answer) -> "CallResult":
--- a/packages/node/radishtray_node/_outgoing_call.py
+++ b/packages/node/radishtray_node/_outgoing_call.py
@@ -402,4 +402,21 @@
             self._deadline_timer.cancel()
         if not self._is_cancelled:
             self._note_unknown(result)
-            self._on_result(result)
+            self._on_result(self._with_retry_key(result))
+
+    def _with_retry_key(self, result: CallResult) -> CallResult:
+        """Adds a fresh key to a refusal of a key that was sent only once.
+
+        No other send of that key can run later, so the request may be sent
+        again under a key whose slot has another owner.
+        """
+        reason = result.refusal
+        forward = self._forward
+        if reason is None or not reason.is_not_run:
+            return result
+        if forward is None or not forward.pristine or result.retry_key:
+            return result
+        key = self._router.keys.retry_key(self._kind.service)
+        if key is None:
+            return result
+        return CallResult.refused(reason, str(key))
