--- a/packages/testing/radishtray_testing/tests/test_operators.py
+++ b/packages/testing/radishtray_testing/tests/test_operators.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from radishtray_testing.processes import LOOPBACK, LocalDeployment
+from radishtray_testing.reference import PAGES
 
 DOCUMENT = """format: 1
 services:
@@ -72,6 +73,9 @@
         status = shown["nodes"][0]["status"]
         (outcome,) = status["unknown_outcomes"]
         assert outcome.items() >= OUTCOME.items()
+        page = (PAGES / "api.md").read_text("utf-8")
+        for key in (*status, *outcome):
+            assert f"`{key}`" in page, key
         code, output = deployment.control(
             *("status", "--node", address, "--node", f"{LOOPBACK}:1")
         )
