Repair a starting node's view without a stall

Cause: a trial with 4,300 members showed that a starting node stayed at 767 members: digests used up the budget of the records that they led to, and parts of which it knew a few records were never asked for. Change: digests and records have a budget each; a query always descends into one child; a reply is answered by records only. Records that were unknown and came by repair are not passed on. Differences are exchanged every 0.5 s. Ruled out: one budget for both, which starved the records.

--- a/packages/state/radishtray_state/_membership.py
+++ b/packages/state/radishtray_state/_membership.py
@@ -71,7 +71,6 @@
     """
 
     __slots__ = (
-        "_budget",
         "_checks",
         "_clock",
         "_expiries",
@@ -88,10 +87,12 @@
         "_parameters",
         "_probe",
         "_queue",
+        "_record_budget",
         "_relays",
         "_rng",
         "_saw_difference",
         "_sequence",
+        "_summary_budget",
         "_superseded_by",
         "_suspects",
         "_suspicions",
@@ -134,11 +135,16 @@
             self._parameters.transmit_factor, self._view.get
         )
         self._suspicions = Suspicions()
-        self._budget = RepairBudget(
+        self._record_budget = RepairBudget(
             self._parameters.repair_datagrams_per_s,
             self._parameters.repair_burst,
             now,
         )
+        self._summary_budget = RepairBudget(
+            self._parameters.repair_summaries_per_s,
+            self._parameters.repair_burst,
+            now,
+        )
         self._checks: dict[str, MemberRecord] = {}
         self._expiries: dict[str, float] = {}
         self._relays: dict[int, _Relay] = {}
@@ -313,8 +319,12 @@
             return []
         now = self._clock.monotonic()
         self._last_heard_at = now
+        is_push = message.kind is GossipKind.PUSH
         for record in message.updates:
-            self._merge(record, now)
+            # A starting node learns the whole view by repair; passing it on
+            # would fill all its datagrams for hours with what others know.
+            is_repair = is_push and record.node_id != message.sender
+            self._merge(record, now, is_repair)
         if message.suspects:
             self._on_suspects(message.suspects)
         if message.generation > self._generation:
@@ -494,7 +504,7 @@
 
     # Records.
 
-    def _merge(self, record: MemberRecord, now: float) -> None:
+    def _merge(self, record: MemberRecord, now: float, is_repair: bool) -> None:
         if record.node_id == self._own.node_id:
             self._hear_about_self(record)
             return
@@ -505,7 +515,10 @@
         if current is not None and self._needs_check(record, current):
             self._checks[record.node_id] = record
             return
-        self._accept(self._settle_address(record), now, own=False)
+        passes_on = current is not None or not is_repair
+        self._accept(
+            self._settle_address(record), now, own=False, passes_on=passes_on
+        )
 
     def _needs_check(self, record: MemberRecord, current: MemberRecord) -> bool:
         return (
@@ -531,10 +544,17 @@
             return record
         return record.with_state(MemberState.DEAD)
 
-    def _accept(self, record: MemberRecord, now: float, own: bool) -> None:
+    def _accept(
+        self,
+        record: MemberRecord,
+        now: float,
+        *,
+        own: bool,
+        passes_on: bool = True,
+    ) -> None:
         known = self._view.get(record.node_id) is not None
         self._replace(record)
-        if known or record.is_live:
+        if passes_on and (known or record.is_live):
             self._queue.add(record.node_id)
         if record.state is MemberState.SUSPECT:
             lasts = self._parameters.suspicion_s(self._view.live_count)
@@ -620,16 +640,18 @@
         if not differing:
             return []
         self._saw_difference = True
-        available = self._budget.available(now)
         sent: list[Datagram] = []
         pieces = repair(
             self._view, summary, differing, self._room(None), self._rng
         )
         for answer, records in pieces:
-            if len(sent) >= available:
+            is_summary = answer is not None
+            if is_summary and self._summary_budget.spend(now):
+                sent.append(self._push(source, answer))
+            elif not is_summary and self._record_budget.spend(now):
+                sent.append(self._push(source, None, records))
+            elif not is_summary:
                 break
-            sent.append(self._push(source, answer, records))
-        self._budget.spend(len(sent))
         return sent
 
     # Sending.
--- a/packages/state/radishtray_state/_membership_parameters.py
+++ b/packages/state/radishtray_state/_membership_parameters.py
@@ -36,16 +36,23 @@
     digest_interval_s: float = 10.0
     """Seconds between two digest exchanges once views agree."""
 
-    catch_up_interval_s: float = 1.0
+    catch_up_interval_s: float = 0.5
     """Seconds between two digest exchanges while differences are seen."""
 
     repair_datagrams_per_s: float = 2.0
-    """Rate of repair datagrams; bounds the load after a partition."""
+    """Rate of datagrams with records; bounds the load after a partition."""
 
     repair_burst: int = 8
-    """Repair datagrams that may be sent at once.
+    """Datagrams with records that may be sent at once.
 
-    A starting node asks one peer per second, so it receives about 11 KB/s.
+    A starting node asks two peers per second and receives a part of this.
+    """
+
+    repair_summaries_per_s: float = 6.0
+    """Rate of digests sent in answer; an exchange takes up to 5 of them.
+
+    They have their own bound, because a starting node sends few records and
+    would otherwise spend on them what its answers need.
     """
 
     dead_probe_interval_s: float = 10.0
--- a/packages/state/radishtray_state/_view_repair.py
+++ b/packages/state/radishtray_state/_view_repair.py
@@ -35,16 +35,15 @@
         self._tokens = float(burst)
         self._filled_at = now
 
-    def available(self, now: float) -> int:
-        """Returns how many datagrams may be sent now."""
+    def spend(self, now: float) -> bool:
+        """Takes one datagram from the budget; returns whether it had one."""
         gained = (now - self._filled_at) * self._rate
         self._tokens = min(self._burst, self._tokens + gained)
         self._filled_at = now
-        return int(self._tokens)
-
-    def spend(self, datagrams: int) -> None:
-        """Counts datagrams as sent."""
-        self._tokens -= datagrams
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
 
 
 def differences(view: MemberView, summary: ViewSummary) -> list[int]:
@@ -68,22 +67,25 @@
 ) -> Iterator[RepairPiece]:
     """Yields answers to a summary that differs, one datagram each.
 
-    The first piece returns the own summary, so the sender repairs the other
-    direction. Children follow in random order, because the caller stops at its
+    A query is answered by the own summary, so the sender repairs the other
+    direction, and by a query for one child. A reply is only answered by
+    records. Children follow in random order, because the caller stops at its
     budget and repeated exchanges must make progress everywhere.
     """
     own = view.digest.summary(summary.prefix, is_reply=True)
     if not summary.is_reply:
         yield own, ()
     rng.shuffle(differing)
+    descended = summary.is_reply
     for child in differing:
         prefix = f"{summary.prefix}{child:x}"
         node_ids = view.digest.node_ids(prefix)
         one_sided = not (own.digests[child] and summary.digests[child])
-        if not (one_sided or _is_direct(prefix, len(node_ids))):
+        if not (one_sided or descended or len(prefix) == DEPTH):
+            descended = True
             yield view.digest.summary(prefix, is_reply=False), ()
-            continue
-        yield from _chunks(view, node_ids, room)
+        elif one_sided or _is_direct(prefix, len(node_ids)):
+            yield from _chunks(view, node_ids, room)
 
 
 def _is_direct(prefix: str, records: int) -> bool:
