Keep the slow link below the present bound of silence

New cases: a link closed for idleness reopens, and a call on a connection that is being closed. Ruled out: keeping 0.7 s; a reconnect is then the intended behaviour.

--- a/packages/node/radishtray_node/tests/test_node_faults.py
+++ b/packages/node/radishtray_node/tests/test_node_faults.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from radishtray_node._peer_link import IDLE_S, SILENCE_S
 from radishtray_protocol import wire
 from radishtray_testing.node_builders import (
     Caller,
@@ -175,7 +176,7 @@
     """A round trip just below the bound of silence."""
     bench.send()
     for end in bench.ends():
-        end.delay_s = 0.7
+        end.delay_s = 0.45 * SILENCE_S
     bench.upstream.answer()
     bench.send()
     bench.run(1)
@@ -184,6 +185,27 @@
     assert len(bench.cluster.link_ends("b")) == 1
 
 
+def idle_link_reopens(bench: Bench) -> None:
+    bench.send()
+    bench.upstream.answer()
+    bench.run(IDLE_S + 3)
+    assert bench.ends()[0].connected is False
+    bench.send()
+    bench.upstream.answer(b"second")
+
+
+def call_on_a_closing_connection(bench: Bench) -> None:
+    """The call and the end of the connection arrive together."""
+    bench.send()
+    bench.upstream.answer()
+    bench.run(0.1)
+    opening = bench.ends()[0]
+    bench.send()
+    opening.protocol.close()
+    bench.run(1)
+    bench.upstream.answer(b"second")
+
+
 def paused_receiver(bench: Bench) -> None:
     bench.send()
     bench.upstream.answer()
@@ -261,6 +283,11 @@
     ),
     "duplicate_call_frame": (duplicate_call_frame, ["done", "second"]),
     "slow_link": (slow_link, ["done", "second"]),
+    "idle_link_reopens": (idle_link_reopens, ["done", "second"]),
+    "call_on_a_closing_connection": (
+        call_on_a_closing_connection,
+        ["done", "second"],
+    ),
     "paused_receiver": (paused_receiver, ["done", "never_arrived"]),
     "receiver_restarted": (restarted, ["node_lost"]),
     "receiver_gone_for_good": (gone_for_good, ["node_lost"]),
--- a/packages/testing/radishtray_testing/node_builders.py
+++ b/packages/testing/radishtray_testing/node_builders.py
@@ -256,7 +256,7 @@
     def _start_loops(self, network: MemoryNetwork) -> None:
         for action, interval_s in (
             (self.server.expire, 0.05),
-            (self.router.check_silence, 0.5),
+            (self.router.check_silence, 0.25),
             (self._every_second, 1.0),
         ):
             loop = LoopingCall(action)
