--- a/packages/transport/radishtray_transport/__init__.py
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -8,10 +8,10 @@
     encode_datagram,
 )
 from radishtray_transport._gossip_socket import GossipCounters, GossipSocket
-from radishtray_transport._http_client import (
+from radishtray_transport._http_client import HttpClient
+from radishtray_transport._http_exchange import (
     HeaderList,
     HttpAnswer,
-    HttpClient,
     PendingRequest,
     RequestFailure,
 )
--- a/packages/transport/radishtray_transport/_http_server.py
+++ b/packages/transport/radishtray_transport/_http_server.py
@@ -11,7 +11,7 @@
 from twisted.web.http import RESPONSES, HTTPChannel, Request
 
 from radishtray_transport._direct_writer import DirectWriter
-from radishtray_transport._http_client import HeaderList
+from radishtray_transport._http_exchange import HeaderList
 
 _LOG = logging.getLogger(__name__)
 _SWEEP_INTERVAL_S = 1.0
--- a/packages/transport/radishtray_transport/platform_client.py
+++ b/packages/transport/radishtray_transport/platform_client.py
@@ -13,9 +13,9 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IDelayedCall
 
-from radishtray_transport._http_client import (
+from radishtray_transport._http_client import HttpClient
+from radishtray_transport._http_exchange import (
     HttpAnswer,
-    HttpClient,
     PendingRequest,
     RequestFailure,
 )
