Export the platform client from its package

Cause: it was the one public module of a package of private ones. Change: _platform_client behind radishtray_transport.

--- a/packages/ctl/radishtray_ctl/_apply.py
+++ b/packages/ctl/radishtray_ctl/_apply.py
@@ -13,7 +13,7 @@
     raise_platform_error,
 )
 from radishtray_protocol import Release, next_release, parse_document
-from radishtray_transport.platform_client import Conflict, OutcomeUnknown
+from radishtray_transport import Conflict, OutcomeUnknown
 
 _MAX_UPDATES: Final = 50  # Bounds the rebases of one change.
 _MAX_UNKNOWN: Final = 5
--- a/packages/ctl/radishtray_ctl/_arguments.py
+++ b/packages/ctl/radishtray_ctl/_arguments.py
@@ -6,7 +6,7 @@
 from typing import Any, Final, NamedTuple
 
 from radishtray_ctl._errors import CommandError, ExitCode
-from radishtray_transport.platform_client import parse_base_url
+from radishtray_transport import parse_base_url
 
 _ENVIRONMENT_PREFIX: Final = "RADISHTRAY_"
 _MAX_AUTHOR_CHARS: Final = 200
--- a/packages/ctl/radishtray_ctl/_config_commands.py
+++ b/packages/ctl/radishtray_ctl/_config_commands.py
@@ -39,7 +39,7 @@
     join_sections,
     parse_document,
 )
-from radishtray_transport.platform_client import PlatformClient
+from radishtray_transport import PlatformClient
 
 _PlatformCommand = Callable[[Namespace, Any], Awaitable[Report]]
 _StoreCommand = Callable[[Namespace, Any, ReleaseStore], Awaitable[Report]]
--- a/packages/ctl/radishtray_ctl/_release_store.py
+++ b/packages/ctl/radishtray_ctl/_release_store.py
@@ -14,7 +14,7 @@
     section_digest,
     section_object,
 )
-from radishtray_transport.platform_client import (
+from radishtray_transport import (
     ABSENT_VERSION,
     Conflict,
     NotFound,
--- a/packages/testing/radishtray_testing/tests/test_platform_client.py
+++ b/packages/testing/radishtray_testing/tests/test_platform_client.py
@@ -12,7 +12,7 @@
 from twisted.web.server import Site
 
 from radishtray_testing.platform_standin import Faults, PlatformStandin
-from radishtray_transport.platform_client import (
+from radishtray_transport import (
     ABSENT_VERSION,
     Conflict,
     NotFound,
--- a/packages/transport/radishtray_transport/__init__.py
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -28,7 +28,7 @@
     Signer,
     open_node_connection,
 )
-from radishtray_transport.platform_client import (
+from radishtray_transport._platform_client import (
     ABSENT_VERSION,
     Conflict,
     ListedObject,
@@ -39,6 +39,7 @@
     PlatformObject,
     Rejected,
     Unreachable,
+    parse_base_url,
 )
 
 __all__ = [
@@ -73,4 +74,5 @@
     "decode_payload",
     "encode_datagram",
     "open_node_connection",
+    "parse_base_url",
 ]
