Pull the slot table from peers when a key is refused

A node that gained slots just before an outage and missed the push knew its slots only from the platform. Ruled out: a longer lead of boundaries, which would only make it rarer.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -353,7 +353,12 @@
         return self.fleet.is_alive(owner)
 
     def _key_not_owned(self) -> None:
+        """Looks for a newer slot table at the platform and at peers.
+
+        A sender with a newer table may be right, and the platform may be down.
+        """
         self._slots.refresh()
+        self.router.refresh_slot_table(self._slots.service, lambda: None)
 
     def _slot_members(self, service: str) -> list[SlotOwner]:
         return self.fleet.slot_members(service)
