Add CrashSuspects.note_crash for senders

Cause: a sender that merges its own count of crashes as an entry with two crashes blocks the request everywhere, even an innocent one that was in flight at two crashes.

Change: note_crash makes a request a suspect and never blocks it; it replaces the private method behind check(crash_count). The node does not use it yet.

--- a/packages/state/radishtray_state/_crash_suspects.py
+++ b/packages/state/radishtray_state/_crash_suspects.py
@@ -205,7 +205,7 @@
         if crashes >= _BLOCKED:
             return SuspectVerdict.REFUSE
         if crash_count and not crashes:
-            crashes = self._suspect_from_context(fingerprint)
+            crashes = self.note_crash(fingerprint)
         if crashes and self._running_suspects():
             return SuspectVerdict.WAIT
         return SuspectVerdict.RUN
@@ -282,6 +282,25 @@
             if f in self._entries
         ]
 
+    def note_crash(self, fingerprint: int) -> int:
+        """Makes an unknown request a suspect, but not a cleared one.
+
+        For senders whose attempt ended with a crash of its upstream. It never
+        blocks a request, however many of its attempts crashed: only the node
+        beside the upstream knows whether it was the only suspect, and
+        announces that by gossip.
+
+        Returns:
+            As `crashes`.
+        """
+        now = self._clock.monotonic()
+        entry = self._entries.get(fingerprint)
+        if entry is not None and entry.expires_at > now:
+            return entry.crashes
+        self._entries[fingerprint] = _Entry(_SUSPECT, now, now)
+        self._bound(now)
+        return _SUSPECT
+
     def merge(self, suspects: Iterable[CrashSuspect]) -> None:
         """Applies entries received from a peer.
 
@@ -333,16 +352,6 @@
         known = self._entries.keys() & self._in_flight.keys()
         return any(self.crashes(f) for f in known)
 
-    def _suspect_from_context(self, fingerprint: int) -> int:
-        """Makes an unknown request a suspect, but not a cleared one."""
-        now = self._clock.monotonic()
-        entry = self._entries.get(fingerprint)
-        if entry is not None and entry.expires_at > now:
-            return entry.crashes
-        self._entries[fingerprint] = _Entry(_SUSPECT, now, now)
-        self._bound(now)
-        return _SUSPECT
-
     def _merge_one(
         self, suspect: CrashSuspect, since: float, now: float
     ) -> None:
--- a/packages/state/radishtray_state/tests/test_crash_suspects.py
+++ b/packages/state/radishtray_state/tests/test_crash_suspects.py
@@ -90,6 +90,13 @@
     assert (suspects.crashes(1), suspects.crashes(8)) == (2, 1)
 
 
+def test_crashes_noted_by_a_sender_never_block() -> None:
+    suspects = CrashSuspects(ManualClock())
+    assert [suspects.note_crash(7) for _ in range(3)] == [1, 1, 1]
+    assert suspects.finished(7)
+    assert suspects.note_crash(7) == 0, "cleared"
+
+
 def test_a_crash_of_a_blocked_request_blocks_no_suspect_beside_it() -> None:
     _, suspects = _after_crash(1, 2)
     suspects.started(2)
