Send crash suspects to one host and keep attempt ids apart

Cause: a review of the wiring. The sender's merge of two crashes blocked innocent requests on all nodes; resends of a crashing request reached a third upstream before gossip did; ids of different receivers were alike, so an answer on a wrong connection could match; a cancel was lost after a reconnect; two processes started in one millisecond had one incarnation; a receiver that closes each connection was called without a pause; a call and an answer in one frame passed. Change: note_crash and suspect_hosts at the sender, with the nodes whose upstream is down; salted ids; calls kept by sender; random bits in the incarnation; a pause; a check. A blocked content is refused as crash_suspect also while the upstream is down. Two tests now compute the ids of attempts instead of counting from 1; their checks are unchanged. Ruled out: counting the second crash at the sender, which cannot tell whether its request was the only suspect.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -3,6 +3,7 @@
 import gc
 import logging
 import random
+import secrets
 from collections.abc import Callable
 from typing import Any
 
@@ -51,6 +52,7 @@
 _SILENCE_INTERVAL_S = 0.25
 _SECOND_S = 1.0
 _LOOPBACK = "127.0.0.1"
+_INCARNATION_RANDOM_BITS = 20
 # With the default of 700 a collection runs every few calls, and each full one
 # visits every connection.
 _GC_THRESHOLDS = (20_000, 20, 100)
@@ -113,7 +115,9 @@
         """
         self.settings = settings
         self.clock: Clock = SystemClock()
-        self.identity = NodeIdentity(settings.node_id, self.clock.wall_ms())
+        self.identity = NodeIdentity(
+            settings.node_id, _new_incarnation(self.clock)
+        )
         self.metrics = Metrics()
         self._reactor = reactor
         self._document: Document | None = None
@@ -168,6 +172,7 @@
             self._unknown,
             self._link_to,
             settings.retry_policy == "budget",
+            self._suspect_nodes,
         )
         self._store = ObjectStore(
             PlatformClient(
@@ -360,6 +365,9 @@
         self._slots.refresh()
         self.router.refresh_slot_table(self._slots.service, lambda: None)
 
+    def _suspect_nodes(self, service: str) -> list[str]:
+        return self.fleet.nodes_of(service)
+
     def _slot_members(self, service: str) -> list[SlotOwner]:
         return self.fleet.slot_members(service)
 
@@ -469,5 +477,16 @@
         self._reactor.callLater(0.1, self._stopped.callback, None)
 
 
+def _new_incarnation(clock: Clock) -> int:
+    """Returns a number that rises with the time of the start.
+
+    The random bits keep two processes of one millisecond apart, on which the
+    ownership of key slots depends.
+    """
+    return (clock.wall_ms() << _INCARNATION_RANDOM_BITS) | secrets.randbits(
+        _INCARNATION_RANDOM_BITS
+    )
+
+
 def _answer_size(result: CallResult) -> int:
     return len(result.body) + sum(map(len, result.headers))
--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -22,7 +22,7 @@
     RetryPolicy,
     RetryThrottle,
     UpstreamSelector,
-    suspect_host,
+    suspect_hosts,
 )
 
 _TABLE_PULL_TIMEOUT_S = 0.5
@@ -58,6 +58,7 @@
         "_node_id",
         "_rng",
         "_server",
+        "_suspect_nodes",
         "_suspects",
         "_table_waiters",
         "_throttle",
@@ -86,6 +87,7 @@
         unknown: UnknownOutcomes,
         link_factory: LinkFactory,
         is_retry_bound: bool = True,
+        suspect_nodes: Callable[[str], Collection[str]] | None = None,
     ) -> None:
         """Starts without links.
 
@@ -103,6 +105,8 @@
             link_factory: Creates the link to a node.
             is_retry_bound: Whether retries spend the request's budget; without
                 it each hop retries three times, as a baseline.
+            suspect_nodes: Returns the live nodes of a service, also those
+                whose upstream is down; by default the candidates.
         """
         self._node_id = node_id
         self.clock = clock
@@ -120,6 +124,9 @@
             else PerHopRetryPolicy()
         )
         self._rng = rng
+        self._suspect_nodes = suspect_nodes or (
+            lambda service: self._candidates.get(service, ())
+        )
         self._suspects = suspects
         self._server = server
         self._link_factory = link_factory
@@ -145,34 +152,45 @@
         rank: int,
         exclude: Collection[str],
         fingerprint: int,
+        without_upstream: Collection[str] = (),
     ) -> str | RefusalReason:
-        """Chooses the node for one attempt."""
+        """Chooses the node for one attempt.
+
+        Args:
+            service: Name of the service.
+            rank: Importance of the request.
+            exclude: Nodes that were tried.
+            fingerprint: Digest of the call's content.
+            without_upstream: Nodes that answered that their upstream is down.
+
+        Returns:
+            The node's id, or why there is none.
+        """
         crashes = self._suspects.crashes(fingerprint)
         if crashes >= _BLOCKED_CRASHES:
             return RefusalReason.CRASH_SUSPECT
-        if crashes:
-            # All senders send a suspect to one node, so that resends do not
-            # reach several upstreams at once.
-            nodes = self._candidates.get(service, ())
-            host = suspect_host(
-                fingerprint, [n for n in nodes if n not in exclude]
-            )
-            return host or RefusalReason.NO_UPSTREAM
-        return self.selector.choose(service, rank, exclude)
+        if not crashes:
+            return self.selector.choose(service, rank, exclude)
+        # All senders ask the same nodes in the same order, so that a resend
+        # meets the node that knows of the second crash. A node without an
+        # upstream may be that one, so it is asked as well.
+        nodes = self._suspect_nodes(service)
+        for host in suspect_hosts(fingerprint, nodes):
+            if host not in without_upstream:
+                return host
+        return RefusalReason.NO_UPSTREAM
 
     def crashes(self, fingerprint: int) -> int:
         """Returns how many crashes are known of a request's content."""
         return self._suspects.crashes(fingerprint)
 
-    def note_crashes(self, fingerprint: int, crashes: int) -> None:
-        """Remembers what an answer said about a request's content.
+    def note_crash(self, fingerprint: int) -> None:
+        """Remembers that an upstream ended while it ran a content."""
+        self._suspects.note_crash(fingerprint)
 
-        Args:
-            fingerprint: Digest of the request.
-            crashes: Crashes known with this one; 0 after a whole answer.
-        """
-        news = CrashSuspect(fingerprint, crashes, _SUSPECT_TIME_S)
-        self._suspects.merge([news])
+    def note_answered(self, fingerprint: int) -> None:
+        """Clears a content that an upstream has answered."""
+        self._suspects.merge([CrashSuspect(fingerprint, 0, _SUSPECT_TIME_S)])
 
     def expected_s(self, kind: RequestKind) -> float:
         """Returns the expected duration of an attempt, in seconds."""
--- a/packages/node/radishtray_node/_fleet.py
+++ b/packages/node/radishtray_node/_fleet.py
@@ -240,6 +240,14 @@
             for member in self._serving(service)
         ]
 
+    def nodes_of(self, service: str) -> list[str]:
+        """Returns the live nodes of a service, also without an upstream."""
+        return [
+            member.node_id
+            for member in self.membership.members()
+            if member.service_name == service and member.is_live
+        ]
+
     def _serving(self, service: str) -> tuple[MemberRecord, ...]:
         return self.membership.serving(service)
 
--- a/packages/node/radishtray_node/_node_server.py
+++ b/packages/node/radishtray_node/_node_server.py
@@ -24,25 +24,35 @@
 # the 14 KB/s for control. Answers are kept for 30 s at most anyway.
 _TICKS_PER_ACKNOWLEDGEMENT = 5
 
+_CallKey = tuple[str, int, int]
+"""Node id, incarnation and attempt id of the sender."""
+
 ControlHandler = Callable[[NodeConnection, wire.Frame], None]
 
 
 class _Peer:
-    """One open connection and the calls that arrived on it."""
+    """One open connection and its sender."""
 
-    __slots__ = ("acknowledged", "calls", "token")
+    __slots__ = ("acknowledged", "sender", "token")
 
-    def __init__(self, token: ConnectionToken[wire.Answer]) -> None:
+    def __init__(
+        self, sender: wire.Hello, token: ConnectionToken[wire.Answer]
+    ) -> None:
+        self.sender = (sender.node_id, sender.incarnation)
         self.token = token
-        self.calls: dict[int, IncomingCall] = {}
         self.acknowledged = 0
 
+    def key(self, attempt_id: int) -> "_CallKey":
+        """Identifies an attempt of the sender over all its connections."""
+        return (*self.sender, attempt_id)
+
 
 class NodeServer:
     """Accepts calls, answers queries and passes control frames on."""
 
     __slots__ = (
         "_by_token",
+        "_calls",
         "_control",
         "_metrics",
         "_peers",
@@ -70,6 +80,7 @@
         self._metrics = metrics
         self._control = control
         self._table: AttemptTable[wire.Answer] = AttemptTable(clock)
+        self._calls: dict[_CallKey, IncomingCall] = {}
         self._peers: dict[NodeConnection, _Peer] = {}
         self._ticks = 0
         self._by_token: dict[ConnectionToken[wire.Answer], NodeConnection] = {}
@@ -88,7 +99,7 @@
         token = opened.ok
         if token.replaced is not None:
             self._fence(token.replaced)
-        self._peers[connection] = _Peer(token)
+        self._peers[connection] = _Peer(peer, token)
         self._by_token[token] = connection
 
     def _fence(self, token: ConnectionToken[wire.Answer]) -> None:
@@ -121,13 +132,15 @@
             self.connection_rejected("duplicate_attempt")
             return
 
+        key = peer.key(attempt_id)
+
         def done(result: CallResult, retries: int) -> None:
-            peer.calls.pop(attempt_id, None)
+            self._calls.pop(key, None)
             self._finish(token, attempt_id, result, retries)
 
         incoming = self._server.serve(call, done)
         if incoming.is_unanswered:
-            peer.calls[attempt_id] = incoming
+            self._calls[key] = incoming
 
     def _finish(
         self,
@@ -145,7 +158,7 @@
 
     def _cancel(self, peer: _Peer, attempt_id: int) -> None:
         if self._table.cancel(peer.token, attempt_id):
-            call = peer.calls.get(attempt_id)
+            call = self._calls.get(peer.key(attempt_id))
             if call is not None:
                 call.cancel()
             return
--- a/packages/node/radishtray_node/_outgoing_call.py
+++ b/packages/node/radishtray_node/_outgoing_call.py
@@ -24,6 +24,14 @@
 # verdict arrives before this node gives up.
 DEADLINE_MARGIN_MS = 10
 _MAX_REROUTES = 4
+_WITHOUT_UPSTREAM = frozenset(
+    (
+        RefusalReason.NO_UPSTREAM,
+        RefusalReason.UPSTREAM_REFUSED,
+        RefusalReason.NEVER_ARRIVED,
+        RefusalReason.DRAINING,
+    )
+)
 _REROUTE_DELAY_S = 0.05
 
 ResultCallback = Callable[[CallResult], None]
@@ -56,6 +64,7 @@
         "_retries",
         "_router",
         "_sent_s",
+        "_without_upstream",
         "deadline_s",
         "fingerprint",
     )
@@ -113,6 +122,7 @@
         self._retries = 0
         self._crashes = 0
         self._excluded: tuple[str, ...] = ()
+        self._without_upstream: tuple[str, ...] = ()
         self._may_have_run = False
         self._reroutes = 0
         self._is_done = False
@@ -139,6 +149,7 @@
             self._request.rank,
             self._excluded,
             self.fingerprint,
+            self._without_upstream,
         )
         if isinstance(chosen, RefusalReason):
             self._refused_here(chosen)
@@ -233,9 +244,9 @@
         )
         if result.crashed:
             self._crashes += 1
-            router.note_crashes(self.fingerprint, self._crashes)
+            router.note_crash(self.fingerprint)
         elif self._crashes and result.refusal is None:
-            router.note_crashes(self.fingerprint, 0)
+            router.note_answered(self.fingerprint)
         if self._is_done:
             if self._is_cancelled:
                 self._note_unknown(result)
@@ -331,6 +342,11 @@
         router.metrics.retries.labels(reason.value).inc()
         if self._key is None:
             self._excluded = (*self._excluded, self._node_id)
+            if reason in _WITHOUT_UPSTREAM:
+                self._without_upstream = (
+                    *self._without_upstream,
+                    self._node_id,
+                )
         if verdict.delay_s > 0:
             router.timers.after(verdict.delay_s, self._retry)
         else:
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -1,5 +1,6 @@
 """The sending side towards one other node."""
 
+import hashlib
 import logging
 from collections.abc import Callable
 from enum import Enum
@@ -9,6 +10,7 @@
 from radishtray_node._timers import TimerWheel
 from radishtray_protocol import wire
 from radishtray_state import (
+    SALT_BITS,
     AttemptPhase,
     AttemptState,
     AttemptVerdict,
@@ -78,6 +80,16 @@
         self.is_settled = False
 
 
+def attempt_id_salt(address: tuple[str, int]) -> int:
+    """Returns a different range of attempt ids for each receiver.
+
+    An answer that arrives on the connection of another receiver then matches
+    no attempt.
+    """
+    digest = hashlib.blake2b(repr(address).encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big") % (1 << SALT_BITS)
+
+
 class PeerLink:
     """Keeps one connection to a node and settles attempts over reconnects.
 
@@ -141,7 +153,7 @@
         self._on_rejected = on_rejected
         self._on_verified = on_verified
         self._outstanding: OutstandingAttempts[SentAttempt, wire.Answer] = (
-            OutstandingAttempts()
+            OutstandingAttempts(attempt_id_salt(address))
         )
         self._connection: NodeConnection | None = None
         self._waiting: list[SentAttempt | wire.Frame] = []
@@ -350,7 +362,18 @@
         if self._is_opening:
             self.connection_failed()
         elif self._outstanding.outstanding or self._waiting:
+            self._reopen()
+
+    def _reopen(self) -> None:
+        """Opens at once, but with a pause after a connection that was short.
+
+        A receiver that closes each connection would else be called without end.
+        """
+        opened_s = self._reactor.seconds() - self._opening_since_s
+        if opened_s > _RECONNECT_S:
             self._open()
+        else:
+            self._timers.after(_RECONNECT_S, self._open)
 
     def connection_failed(self) -> None:
         """Fails what waits and tries again for what was handed over."""
--- a/packages/node/radishtray_node/_upstream_server.py
+++ b/packages/node/radishtray_node/_upstream_server.py
@@ -11,6 +11,8 @@
 from radishtray_protocol import wire
 from radishtray_state import Clock, KeyOwner, RefusalReason
 
+_BLOCKED_CRASHES = 2
+
 
 class UpstreamServer:
     """Runs calls of other nodes, and of this one, on the upstream.
@@ -114,12 +116,21 @@
         """Returns why a call cannot run here at all, or None."""
         if self.is_draining:
             return RefusalReason.DRAINING
+        if self._is_blocked(call.context.fingerprint):
+            return RefusalReason.CRASH_SUSPECT
         if self.upstream.service != call.service_name:
             return RefusalReason.NO_UPSTREAM
         if call.context.depth > MAX_DEPTH:
             return RefusalReason.TOO_DEEP
         return None
 
+    def _is_blocked(self, fingerprint: int) -> bool:
+        """Whether a content has crashed two upstreams.
+
+        This is known, and must be said, also while the upstream is down.
+        """
+        return self.upstream.suspects.crashes(fingerprint) >= _BLOCKED_CRASHES
+
     def join_run(self, key: bytes, call: IncomingCall) -> None:
         """Lets a resend wait for the run that has begun."""
         self._joined.setdefault(key, []).append(call)
--- a/packages/node/radishtray_node/tests/test_call_chains.py
+++ b/packages/node/radishtray_node/tests/test_call_chains.py
@@ -153,7 +153,8 @@
     bench.run(2)
     bench.send("/s/buy", key)
     opening, _ = bench.cluster.link_ends("b")[-1]
-    opening.protocol.send(wire.Frame(cancel=wire.Cancel(attempt_id=2)))
+    cancel = wire.Cancel(attempt_id=bench.cluster.attempt_id("b", 2))
+    opening.protocol.send(wire.Frame(cancel=cancel))
     bench.run()
     assert bench.caller.seen(1) == "cancelled_running"
     assert bench.b.upstream.runs == ["/buy"]
--- a/packages/node/radishtray_node/tests/test_node_faults.py
+++ b/packages/node/radishtray_node/tests/test_node_faults.py
@@ -228,15 +228,15 @@
     bench.ends()[1].abortConnection()
 
 
-def answers(bench: Bench, *attempt_ids: int) -> None:
+def answers(bench: Bench, *numbers: int) -> None:
     """Sends answers from `b` that name their attempt in the body."""
     connection: NodeConnection = bench.ends()[1].protocol
-    for attempt_id in attempt_ids:
+    for number in numbers:
         answer = wire.Answer(
-            attempt_id=attempt_id,
+            attempt_id=bench.cluster.attempt_id("b", number),
             status=200,
             headers=[],
-            body=f"attempt {attempt_id}".encode(),
+            body=f"attempt {number}".encode(),
             retries_used=0,
             threshold=0,
             queue_ms=0,
--- a/packages/protocol/radishtray_protocol/_frames.py
+++ b/packages/protocol/radishtray_protocol/_frames.py
@@ -182,6 +182,8 @@
     """
     try:
         if frame.call is not None:
+            if frame.answer is not None:
+                raise FrameError("malformed", 0, "call and answer both set")
             frame.call.validate()
             frame.call.context.validate()
         elif frame.answer is not None:
--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -81,10 +81,12 @@
 from radishtray_state._membership import Membership
 from radishtray_state._membership_parameters import MembershipParameters
 from radishtray_state._outstanding_attempts import (
+    SALT_BITS,
     AttemptVerdict,
     OutstandingAttempts,
     Reopened,
     SettledAttempt,
+    attempt_id,
 )
 from radishtray_state._refusal import OutcomeFamily, RefusalReason
 from radishtray_state._release import (
@@ -120,6 +122,7 @@
     "HORIZON_MS",
     "REPLACEMENT_MARGIN_MS",
     "RETRY_RULES",
+    "SALT_BITS",
     "SELECTION_POLICIES",
     "SLOT_COUNT",
     "AdmissionController",
@@ -187,6 +190,7 @@
     "UpstreamSelector",
     "ViewSummary",
     "admission_policy",
+    "attempt_id",
     "boundaries",
     "claim_free",
     "extend_horizon",
--- a/packages/state/radishtray_state/_outstanding_attempts.py
+++ b/packages/state/radishtray_state/_outstanding_attempts.py
@@ -8,7 +8,7 @@
 
 ContextT = TypeVar("ContextT")
 
-_SALT_BITS = 23
+SALT_BITS = 23
 _COUNTER_BITS = 40  # With the salt they fill a positive 64-bit integer.
 
 
@@ -101,6 +101,11 @@
         return self._lost
 
 
+def attempt_id(salt: int, number: int) -> int:
+    """Returns the id of the attempt of a number, counted from 1."""
+    return (salt << _COUNTER_BITS) + number
+
+
 class OutstandingAttempts(Generic[ContextT, AnswerT]):
     """Attempts handed to the sockets of one receiver and not yet settled.
 
@@ -134,14 +139,14 @@
         Raises:
             ValueError: If the salt is out of range.
         """
-        if not 0 <= salt < 2**_SALT_BITS:
-            raise ValueError(f"salt {salt} does not fit {_SALT_BITS} bits")
+        if not 0 <= salt < 2**SALT_BITS:
+            raise ValueError(f"salt {salt} does not fit {SALT_BITS} bits")
         self._current: dict[int, ContextT] = {}
         self._earlier: dict[int, ContextT] = {}
         self._epoch = 0
         self._next_epoch = 0
         self._is_open = False
-        self._first_id = (salt << _COUNTER_BITS) + 1
+        self._first_id = attempt_id(salt, 1)
         self._last_id = self._first_id - 1
         self._receiver_incarnation = 0
         self._late = 0
--- a/packages/testing/radishtray_testing/node_builders.py
+++ b/packages/testing/radishtray_testing/node_builders.py
@@ -12,7 +12,7 @@
 from radishtray_node._local_upstream import Announcement, LocalUpstream
 from radishtray_node._metrics import Metrics
 from radishtray_node._node_server import NodeServer
-from radishtray_node._peer_link import PeerLink
+from radishtray_node._peer_link import PeerLink, attempt_id_salt
 from radishtray_node._running_request import RunningRequests
 from radishtray_node._timers import TimerWheel
 from radishtray_node._unknown_outcomes import UnknownOutcomes
@@ -28,6 +28,7 @@
     SlotInterval,
     SlotTable,
     UpstreamSelector,
+    attempt_id,
 )
 from radishtray_testing.memory_network import MemoryNetwork, MemoryTransport
 from radishtray_transport import (
@@ -407,6 +408,11 @@
         """Returns the ends of every connection to a node, oldest first."""
         return self.network.connections.get(self.node_ports[node_id], [])
 
+    def attempt_id(self, node_id: str, number: int) -> int:
+        """Returns the id of a sender's attempt at a node, counted from 1."""
+        salt = attempt_id_salt((LOOPBACK, self.node_ports[node_id]))
+        return attempt_id(salt, number)
+
     def new_key(self) -> str:
         """Returns a fresh idempotency key."""
         clock = NetworkClock(self.network)
