--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -3,11 +3,10 @@
 No module of this package does I/O. Clocks, randomness and sends are passed in.
 """
 
-from radishtray_state._admission import (
+from radishtray_state._admission import AdmissionController
+from radishtray_state._admission_policy import (
     ADMISSION_POLICIES,
-    AdmissionController,
     AdmissionPolicy,
-    Ticket,
     admission_policy,
 )
 from radishtray_state._attempts import (
@@ -88,6 +87,7 @@
     SettledAttempt,
     attempt_id,
 )
+from radishtray_state._rank_queue import Ticket
 from radishtray_state._refusal import OutcomeFamily, RefusalReason
 from radishtray_state._release import (
     ReleasePullPlan,
--- a/packages/state/radishtray_state/_admission.py
+++ b/packages/state/radishtray_state/_admission.py
@@ -5,19 +5,20 @@
 
 import heapq
 import random
-from bisect import bisect_left
-from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass
-from itertools import accumulate
-from math import exp, inf
+from math import inf
 
+from radishtray_state._admission_policy import ADMISSION_POLICIES
 from radishtray_state._clock import Clock
+from radishtray_state._rank_queue import (
+    DONE,
+    QUEUED,
+    RUNNING,
+    RankQueue,
+    Ticket,
+)
+from radishtray_state._rank_threshold import RankThreshold
 from radishtray_state._refusal import RefusalReason
-
-LEVELS_PER_CLASS = 128
-CLASS_COUNT = 4
-RANK_COUNT = LEVELS_PER_CLASS * CLASS_COUNT
+from radishtray_state._service_times import ServiceTimes
 
 _WINDOW_S = 0.05
 # The mix of a calm node is needed only once a queue forms.
@@ -25,13 +26,6 @@
 # A queue beyond this multiple of the target closes a window early.
 _SURGE_FACTOR = 2.0
 _EARLY_WINDOW_S = _WINDOW_S / 5
-_ARRIVAL_MEMORY_S = 0.3
-# Senders refuse early below the threshold, so arrivals there are hidden. Their
-# last known rate fades over this time, which lowers the threshold step by step.
-# In simulated surges of requests with four calls, 0.5 s refused 7.5% of the
-# requests after an answered call, 2 s 5.4%.
-_HIDDEN_MEMORY_S = 2.0
-_SERVICE_MEMORY_S = 1.0
 _TARGET_QUEUE_S = 0.02
 # With long service times a shorter queue would leave slots empty between
 # arrivals.
@@ -44,265 +38,6 @@
 # every request were refused, no run could correct them.
 _PROBE_SHARE = 0.1
 _COLD_SHARE = 0.1
-_QUANTILE_STEP = 0.1
-# While others wait, a slot goes to a request that is likely to be answered in
-# time. With the median, a queue of equal ranks ran requests that were late, and
-# simulated goodput was 0.67 of the capacity (deadline of 10 service times).
-_TAIL = 0.9
-_MAX_KINDS = 1024
-
-_NEW = 0
-_QUEUED = 1
-_RUNNING = 2
-_DONE = 3
-
-
-@dataclass(frozen=True, slots=True)
-class AdmissionPolicy:
-    """Which mechanisms of the controller are on.
-
-    Attributes:
-        threshold: Whether ranks below a moving threshold are refused.
-        deadline: Whether requests that cannot be answered in time are refused
-            or dropped from the queue.
-        priority: Whether the queue is ordered by rank; else by arrival.
-        queue_per_slot: Bound of the queue, in waiting requests per slot.
-    """
-
-    threshold: bool = True
-    deadline: bool = True
-    priority: bool = True
-    queue_per_slot: int = 32
-
-
-ADMISSION_POLICIES: dict[str, AdmissionPolicy] = {}
-
-
-def admission_policy(
-    name: str,
-) -> Callable[[Callable[[], AdmissionPolicy]], Callable[[], AdmissionPolicy]]:
-    """Registers the result of the decorated function under a name."""
-
-    def register(
-        build: Callable[[], AdmissionPolicy],
-    ) -> Callable[[], AdmissionPolicy]:
-        if name in ADMISSION_POLICIES:
-            raise ValueError(f"admission policy {name!r} is registered twice")
-        ADMISSION_POLICIES[name] = build()
-        return build
-
-    return register
-
-
-@admission_policy("adaptive")
-def _adaptive() -> AdmissionPolicy:
-    return AdmissionPolicy()
-
-
-@admission_policy("none")
-def _none() -> AdmissionPolicy:
-    return AdmissionPolicy(
-        threshold=False, deadline=False, priority=False, queue_per_slot=10_000
-    )
-
-
-@admission_policy("no_threshold")
-def _no_threshold() -> AdmissionPolicy:
-    return AdmissionPolicy(threshold=False)
-
-
-@admission_policy("no_deadline")
-def _no_deadline() -> AdmissionPolicy:
-    return AdmissionPolicy(deadline=False)
-
-
-@admission_policy("fifo")
-def _fifo() -> AdmissionPolicy:
-    return AdmissionPolicy(priority=False)
-
-
-class Ticket:
-    """One request that asks for a slot."""
-
-    __slots__ = ("_state", "deadline", "kind", "on_drop", "on_run", "rank")
-
-    def __init__(
-        self,
-        rank: int,
-        deadline: float,
-        on_run: Callable[[], None],
-        on_drop: Callable[[RefusalReason], None],
-        kind: str = "",
-    ) -> None:
-        """Creates a ticket that has not been submitted.
-
-        Args:
-            rank: Importance, class * 128 + level; higher is more important.
-            deadline: Monotonic time in seconds after which an answer is
-                worthless.
-            on_run: Called once when the ticket gets a slot.
-            on_drop: Called once when a queued ticket is dropped. It has not
-                run and will not run.
-            kind: Request kind; expected service times are kept by kind.
-
-        Raises:
-            ValueError: If rank is not within 0 and 511.
-        """
-        if not 0 <= rank < RANK_COUNT:
-            raise ValueError(f"rank {rank} is not within 0 and 511")
-        self.rank = rank
-        self.deadline = deadline
-        self.on_run = on_run
-        self.on_drop = on_drop
-        self.kind = kind
-        self._state = _NEW
-
-
-class _RankQueue:
-    """Waiting tickets in one FIFO per rank, with a bit set of ranks in use."""
-
-    __slots__ = ("_fifos", "_ranked", "_used", "size")
-
-    def __init__(self, ranked: bool) -> None:
-        count = RANK_COUNT if ranked else 1
-        self._fifos: list[deque[Ticket]] = [deque() for _ in range(count)]
-        self._ranked = ranked
-        self._used = 0
-        self.size = 0
-
-    def push(self, ticket: Ticket) -> None:
-        index = ticket.rank if self._ranked else 0
-        self._fifos[index].append(ticket)
-        self._used |= 1 << index
-        self.size += 1
-
-    def pop(self) -> Ticket:
-        """Removes the most important ticket, the oldest among equals."""
-        index = self._used.bit_length() - 1
-        ticket = self._fifos[index].popleft()
-        self._removed(index)
-        return ticket
-
-    def pop_least(self) -> Ticket:
-        """Removes the least important ticket, the newest among equals."""
-        index = (self._used & -self._used).bit_length() - 1
-        ticket = self._fifos[index].pop()
-        self._removed(index)
-        return ticket
-
-    def remove(self, ticket: Ticket) -> None:
-        index = ticket.rank if self._ranked else 0
-        self._fifos[index].remove(ticket)
-        self._removed(index)
-
-    def _removed(self, index: int) -> None:
-        self.size -= 1
-        if not self._fifos[index]:
-            self._used &= ~(1 << index)
-
-
-class _MovingQuantile:
-    """Follows one quantile of positive observations in steps."""
-
-    __slots__ = ("_down", "_up", "value")
-
-    def __init__(self, quantile: float, first: float) -> None:
-        self._up = 1 + _QUANTILE_STEP * quantile
-        self._down = 1 - _QUANTILE_STEP * (1 - quantile)
-        self.value = first
-
-    def add(self, observation: float) -> None:
-        self.value *= self._up if observation > self.value else self._down
-
-
-class _ServiceTimes:
-    """Observed service times: the recent mean and two quantiles by kind."""
-
-    __slots__ = ("_count", "_medians", "_sum", "_tails")
-
-    def __init__(self) -> None:
-        self._sum = 0.0
-        self._count = 0.0
-        self._medians: dict[str, _MovingQuantile] = {}
-        self._tails: dict[str, _MovingQuantile] = {}
-
-    @property
-    def mean(self) -> float:
-        """Recent mean in seconds, 0 before the first observation."""
-        return self._sum / self._count if self._count else 0.0
-
-    def median(self, kind: str) -> float:
-        """Moving median of a kind in seconds, 0 before its first run."""
-        found = self._medians.get(kind)
-        return found.value if found else 0.0
-
-    def tail(self, kind: str) -> float:
-        """Moving 90% quantile of a kind, 0 before its first run."""
-        found = self._tails.get(kind)
-        return found.value if found else 0.0
-
-    def add(self, kind: str, service_s: float) -> None:
-        self._sum += service_s
-        self._count += 1.0
-        median = self._medians.get(kind)
-        if median is not None:
-            median.add(service_s)
-            self._tails[kind].add(service_s)
-        elif len(self._medians) < _MAX_KINDS:
-            self._medians[kind] = _MovingQuantile(0.5, service_s)
-            self._tails[kind] = _MovingQuantile(_TAIL, service_s)
-
-    def fade(self, elapsed_s: float) -> None:
-        """Lets older observations weigh less in the mean."""
-        if self._count < 1.0:
-            return
-        factor = exp(-elapsed_s / _SERVICE_MEMORY_S)
-        self._sum *= factor
-        self._count *= factor
-
-
-class _Threshold:
-    """Finds the rank that admits a wanted rate of the arriving mix."""
-
-    __slots__ = ("_counts", "_rates", "rank")
-
-    def __init__(self) -> None:
-        self._counts = [0] * RANK_COUNT
-        self._rates = [0.0] * RANK_COUNT
-        self.rank = 0
-
-    def count(self, rank: int) -> None:
-        self._counts[rank] += 1
-
-    def move(self, elapsed_s: float, wanted: float) -> None:
-        """Ends a window.
-
-        Args:
-            elapsed_s: Length of the window in seconds.
-            wanted: Arrivals per second to admit from now on.
-        """
-        keep = exp(-elapsed_s / _ARRIVAL_MEMORY_S)
-        gain = (1 - keep) / elapsed_s
-        cut = self.rank
-        rates = [
-            rate * keep + count * gain
-            for rate, count in zip(self._rates, self._counts, strict=True)
-        ]
-        fade = exp(-elapsed_s / _HIDDEN_MEMORY_S)
-        hidden = [
-            max(rate, old * fade)
-            for rate, old in zip(rates[:cut], self._rates[:cut], strict=True)
-        ]
-        self._rates = hidden + rates[cut:]
-        self._counts = [0] * RANK_COUNT
-        self._place(wanted)
-
-    def _place(self, wanted: float) -> None:
-        admitted = list(accumulate(reversed(self._rates)))
-        # The rank that crosses the wanted rate is admitted: the queue bounds
-        # the excess, while too few arrivals would leave slots empty.
-        index = bisect_left(admitted, wanted)
-        self.rank = max(0, RANK_COUNT - 1 - index)
 
 
 class AdmissionController:
@@ -352,10 +87,10 @@
             raise ValueError(f"admission policy {policy!r} is none of {known}")
         self._clock = clock
         self._policy = ADMISSION_POLICIES[policy]
-        self._queue = _RankQueue(self._policy.priority)
+        self._queue = RankQueue(self._policy.priority)
         self._expiries: list[tuple[float, int, Ticket]] = []
-        self._service = _ServiceTimes()
-        self._threshold = _Threshold()
+        self._service = ServiceTimes()
+        self._threshold = RankThreshold()
         self._sequence = 0
         self._in_flight = 0
         self._dispatching = False
@@ -434,9 +169,9 @@
             ticket: A ticket that was run.
             service_s: Seconds of its work; None if it gave the slot back.
         """
-        if ticket._state != _RUNNING:
+        if ticket.state != RUNNING:
             return
-        ticket._state = _DONE
+        ticket.state = DONE
         self._in_flight -= 1
         if service_s is not None:
             self._service.add(ticket.kind, service_s)
@@ -448,9 +183,9 @@
         Returns:
             True if the ticket was still queued, so that it never runs.
         """
-        if ticket._state != _QUEUED:
+        if ticket.state != QUEUED:
             return False
-        ticket._state = _DONE
+        ticket.state = DONE
         self._queue.remove(ticket)
         return True
 
@@ -460,7 +195,7 @@
         expiries = self._expiries
         while expiries and expiries[0][0] <= now:
             ticket = heapq.heappop(expiries)[2]
-            if ticket._state == _QUEUED:
+            if ticket.state == QUEUED:
                 self._queue.remove(ticket)
                 self._drop(ticket, _deadline_reason(ticket, now))
         self._dispatch()
@@ -468,7 +203,7 @@
     def next_expiry(self) -> float | None:
         """Monotonic time of the next call of `expire`; None if none is due."""
         expiries = self._expiries
-        while expiries and expiries[0][2]._state != _QUEUED:
+        while expiries and expiries[0][2].state != QUEUED:
             heapq.heappop(expiries)
         return expiries[0][0] if expiries else None
 
@@ -498,12 +233,12 @@
         return left < self._service.tail(ticket.kind)
 
     def _run(self, ticket: Ticket) -> None:
-        ticket._state = _RUNNING
+        ticket.state = RUNNING
         self._in_flight += 1
         ticket.on_run()
 
     def _enqueue(self, ticket: Ticket) -> RefusalReason | None:
-        ticket._state = _QUEUED
+        ticket.state = QUEUED
         self._queue.push(ticket)
         if self._policy.deadline and ticket.deadline != inf:
             latest = ticket.deadline - self._service.tail(ticket.kind)
@@ -512,14 +247,14 @@
         if self._queue.size > self._policy.queue_per_slot * self._slots:
             least = self._queue.pop_least()
             if least is ticket:
-                ticket._state = _DONE
+                ticket.state = DONE
                 return RefusalReason.QUEUE_FULL
             self._drop(least, RefusalReason.QUEUE_FULL)
         self._dispatch()
         return None
 
     def _drop(self, ticket: Ticket, reason: RefusalReason) -> None:
-        ticket._state = _DONE
+        ticket.state = DONE
         ticket.on_drop(reason)
 
     def _dispatch(self) -> None:
