--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -9,14 +9,14 @@
     AdmissionPolicy,
     admission_policy,
 )
-from radishtray_state._attempts import (
+from radishtray_state._attempt_records import (
     AttemptBounds,
     AttemptPhase,
     AttemptState,
-    AttemptTable,
     ConnectionRejection,
     ConnectionToken,
 )
+from radishtray_state._attempts import AttemptTable
 from radishtray_state._clock import (
     Clock,
     ManualClock,
@@ -37,10 +37,10 @@
     SuspectNote,
     ViewSummary,
 )
-from radishtray_state._key_owner import (
+from radishtray_state._key_owner import KeyOwner
+from radishtray_state._key_records import (
     KeyBounds,
     KeyDecision,
-    KeyOwner,
     KeyRecord,
     KeyRecords,
     KeyVerdict,
--- a/packages/state/radishtray_state/_key_owner.py
+++ b/packages/state/radishtray_state/_key_owner.py
@@ -7,183 +7,29 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
-from enum import Enum
-from typing import Final, Generic, TypeVar
+from typing import Final, Generic
 
 from radishtray_state._clock import Clock
-from radishtray_state._key_slots import MAX_AHEAD_MS, SlotOwner, SlotTable
+from radishtray_state._key_records import (
+    NO_CUT,
+    RECORD_OVERHEAD_BYTES,
+    AnswerT,
+    KeyBounds,
+    KeyDecision,
+    KeyRecord,
+    KeyVerdict,
+    OwnedRecord,
+    OwnedService,
+    OwnedSlot,
+    RecordState,
+)
+from radishtray_state._key_slots import SlotOwner, SlotTable
 from radishtray_state._refusal import RefusalReason
 from radishtray_state._request_key import SLOT_COUNT, RequestKey
 
-AnswerT = TypeVar("AnswerT")
-
-RECORD_OVERHEAD_BYTES: Final = 400
-"""Memory of a record besides its answer; docs/measurements/key_slopes.md."""
-
 _EXPIRIES_PER_OFFER: Final = 2
 """Old records removed per offer; two outpace the one that an offer adds."""
 
-_NO_CUT: Final = 1 << 62
-
-
-@dataclass(frozen=True, slots=True)
-class KeyBounds:
-    """Limits of one owner's records."""
-
-    max_records: int = 200_000
-    """Records of all services."""
-
-    max_bytes: int = 32 << 20
-    """Bytes of records and recorded answers."""
-
-    min_retention_s: float = 600.0
-    """A finished record younger than this is never evicted."""
-
-    retention_s: float = 3600.0
-    """A finished record older than this is removed."""
-
-    max_ahead_ms: int = MAX_AHEAD_MS
-    """How far past the own clock an issue time may lie."""
-
-    def __post_init__(self) -> None:
-        """Checks the limits.
-
-        Raises:
-            ValueError: If a limit is not positive or the retentions disagree.
-        """
-        if min(self.max_records, self.max_bytes, self.max_ahead_ms) <= 0:
-            raise ValueError(f"limits must be positive: {self}")
-        if not 0 < self.min_retention_s <= self.retention_s:
-            raise ValueError(f"retentions are out of order: {self}")
-
-
-class KeyVerdict(Enum):
-    """What the node does with an offered request."""
-
-    RUN = "run"
-    """Run it, then call `finish`, `unknown` or `not_run`."""
-
-    JOIN = "join"
-    """The first send is running; wait for its outcome."""
-
-    ANSWERED = "answered"
-    """Send the recorded answer."""
-
-    REFUSED = "refused"
-    """Send the refusal."""
-
-
-class KeyDecision(Generic[AnswerT]):
-    """Verdict on one offer, with the answer or reason that belongs to it."""
-
-    __slots__ = ("answer", "reason", "verdict")
-
-    def __init__(
-        self,
-        verdict: KeyVerdict,
-        answer: AnswerT | None = None,
-        reason: RefusalReason | None = None,
-    ) -> None:
-        """Takes the verdict.
-
-        Args:
-            verdict: What to do.
-            answer: The recorded answer, for `ANSWERED`.
-            reason: The reason, for `REFUSED`.
-        """
-        self.verdict = verdict
-        self.answer = answer
-        self.reason = reason
-
-    def __repr__(self) -> str:
-        """Returns the decision for logs and test output."""
-        return f"KeyDecision({self.verdict}, {self.answer!r}, {self.reason})"
-
-
-@dataclass(frozen=True, slots=True)
-class KeyRecord(Generic[AnswerT]):
-    """A record on its way to a successor."""
-
-    key: RequestKey
-    """The recorded key."""
-
-    digest: bytes
-    """Digest of the first request with this key."""
-
-    answer: AnswerT | None
-    """The complete answer; None if the outcome is unknown."""
-
-
-@dataclass(frozen=True, slots=True)
-class KeyRecords(Generic[AnswerT]):
-    """Records of one slot on their way to a successor."""
-
-    service: str
-    """The service whose slot it is."""
-
-    slot: int
-    """Slot number."""
-
-    records: tuple[KeyRecord[AnswerT], ...]
-    """The records, in no particular order."""
-
-
-class _State(Enum):
-    RUNNING = 0
-    DONE = 1
-    UNKNOWN = 2
-
-
-class _Record(Generic[AnswerT]):
-    """One key's state; removed from its slot when evicted."""
-
-    __slots__ = (
-        "answer",
-        "digest",
-        "finished_at",
-        "issued_ms",
-        "raw",
-        "size",
-        "slot",
-        "state",
-    )
-
-    def __init__(
-        self, slot: "_Slot[AnswerT]", key: RequestKey, digest: bytes
-    ) -> None:
-        self.slot = slot
-        self.raw = key.raw
-        self.issued_ms = key.issued_ms
-        self.digest = digest
-        self.state = _State.RUNNING
-        self.answer: AnswerT | None = None
-        self.finished_at = 0.0
-        self.size = RECORD_OVERHEAD_BYTES
-
-
-class _Slot(Generic[AnswerT]):
-    """Own intervals and records of one slot of one service."""
-
-    __slots__ = ("cut_ms", "highest_ms", "intervals", "records")
-
-    def __init__(self) -> None:
-        self.intervals: tuple[tuple[int, int], ...] = ()
-        self.cut_ms = _NO_CUT
-        self.highest_ms = -1
-        self.records: dict[bytes, _Record[AnswerT]] = {}
-
-
-class _Service(Generic[AnswerT]):
-    """Slots of one service and the version of the table they come from."""
-
-    __slots__ = ("cut_version", "slots", "version")
-
-    def __init__(self) -> None:
-        self.version = -1
-        self.cut_version = -1
-        self.slots: list[_Slot[AnswerT]] = [_Slot() for _ in range(SLOT_COUNT)]
-
 
 class KeyOwner(Generic[AnswerT]):
     """Decides for each key whether this process may run it, and records it."""
@@ -225,9 +71,9 @@
         self._clock = clock
         self._bounds = bounds or KeyBounds()
         self._answer_size = answer_size or _no_size
-        self._services: dict[str, _Service[AnswerT]] = {}
-        self._running: dict[bytes, _Record[AnswerT]] = {}
-        self._finished: deque[_Record[AnswerT]] = deque()
+        self._services: dict[str, OwnedService[AnswerT]] = {}
+        self._running: dict[bytes, OwnedRecord[AnswerT]] = {}
+        self._finished: deque[OwnedRecord[AnswerT]] = deque()
         self._bytes = 0
         self._low_water_ms = 0
         self._stopped = False
@@ -289,7 +135,7 @@
                 and i.incarnation == self._me.incarnation
             )
             if settled:
-                slot.cut_ms = _NO_CUT
+                slot.cut_ms = NO_CUT
         return True
 
     def promise(
@@ -341,7 +187,7 @@
         reason = self._refusal(slot, key)
         if reason is not None:
             return self._refused[reason]
-        record = _Record(slot, key, digest)
+        record = OwnedRecord(slot, key, digest)
         slot.records[record.raw] = record
         self._running[record.raw] = record
         self._bytes += record.size
@@ -443,7 +289,7 @@
                 continue
             if not self._make_room(1):
                 break
-            record = _Record(held, moved.key, moved.digest)
+            record = OwnedRecord(held, moved.key, moved.digest)
             held.records[record.raw] = record
             self._bytes += record.size
             self._keep(record, moved.answer)
@@ -462,25 +308,25 @@
         oldest = self._clock.monotonic() - self._bounds.retention_s
         return self._evict(oldest, limit)
 
-    def _service(self, service: str) -> _Service[AnswerT]:
+    def _service(self, service: str) -> OwnedService[AnswerT]:
         state = self._services.get(service)
         if state is None:
-            state = self._services[service] = _Service()
+            state = self._services[service] = OwnedService()
         return state
 
     def _recorded(
-        self, record: _Record[AnswerT], digest: bytes
+        self, record: OwnedRecord[AnswerT], digest: bytes
     ) -> KeyDecision[AnswerT]:
         if record.digest != digest:
             return self._refused[RefusalReason.KEY_REUSED]
-        if record.state is _State.RUNNING:
+        if record.state is RecordState.RUNNING:
             return self._join
-        if record.state is _State.DONE:
+        if record.state is RecordState.DONE:
             return KeyDecision(KeyVerdict.ANSWERED, record.answer)
         return self._refused[RefusalReason.KEY_UNKNOWN]
 
     def _refusal(
-        self, slot: _Slot[AnswerT], key: RequestKey
+        self, slot: OwnedSlot[AnswerT], key: RequestKey
     ) -> RefusalReason | None:
         """Returns why an unrecorded key may not run."""
         if not self._owns(slot, key.issued_ms):
@@ -509,7 +355,7 @@
     def _too_new(self, issued_ms: int) -> bool:
         return issued_ms > self._clock.wall_ms() + self._bounds.max_ahead_ms
 
-    def _owns(self, slot: _Slot[AnswerT], issued_ms: int) -> bool:
+    def _owns(self, slot: OwnedSlot[AnswerT], issued_ms: int) -> bool:
         if issued_ms >= slot.cut_ms:
             return False
         for from_ms, until_ms in slot.intervals:
@@ -517,11 +363,15 @@
                 return True
         return False
 
-    def _keep(self, record: _Record[AnswerT], answer: AnswerT | None) -> None:
+    def _keep(
+        self, record: OwnedRecord[AnswerT], answer: AnswerT | None
+    ) -> None:
         """Marks a record as done, or as unknown without an answer."""
         record.finished_at = self._clock.monotonic()
         record.answer = answer
-        record.state = _State.UNKNOWN if answer is None else _State.DONE
+        record.state = (
+            RecordState.UNKNOWN if answer is None else RecordState.DONE
+        )
         if answer is not None:
             added = self._answer_size(answer)
             record.size += added
--- a/packages/state/radishtray_state/_outstanding_attempts.py
+++ b/packages/state/radishtray_state/_outstanding_attempts.py
@@ -4,7 +4,11 @@
 from enum import Enum
 from typing import Generic, TypeVar
 
-from radishtray_state._attempts import AnswerT, AttemptPhase, AttemptState
+from radishtray_state._attempt_records import (
+    AnswerT,
+    AttemptPhase,
+    AttemptState,
+)
 
 ContextT = TypeVar("ContextT")
 
--- a/packages/testing/radishtray_testing/chain_mutations.py
+++ b/packages/testing/radishtray_testing/chain_mutations.py
@@ -20,6 +20,7 @@
     RetryLedger,
     RetryPolicy,
     SuspectVerdict,
+    _attempt_records,
     _attempts,
     _crash_suspects,
     _outstanding_attempts,
@@ -131,7 +132,9 @@
     return _decide(self, outcome, **request)
 
 
-_NO_FENCE = _patched(_attempts._Sender, "end_connection", _end_without_fence)
+_NO_FENCE = _patched(
+    _attempt_records.SenderRecord, "end_connection", _end_without_fence
+)
 _ANY_ID = _patched(_attempts.AttemptTable, "accept", _accept_any)
 
 
@@ -171,7 +174,9 @@
 _mutation("no fence and ids need not increase", _NO_FENCE, _ANY_ID)
 _mutation(
     "dropped attempts are reported as never seen",
-    _patched(_attempts._Sender, "may_have_dropped", lambda *_: False),
+    _patched(
+        _attempt_records.SenderRecord, "may_have_dropped", lambda *_: False
+    ),
 )
 _mutation(
     "forgotten attempts are taken for not run",
--- a/packages/testing/radishtray_testing/mutations.py
+++ b/packages/testing/radishtray_testing/mutations.py
@@ -23,7 +23,7 @@
     KeyVerdict,
     RefusalReason,
     SlotTable,
-    _key_owner,
+    _key_records,
     _key_slots,
 )
 from radishtray_testing.key_simulation import Node, Simulation, violations
@@ -150,7 +150,9 @@
     recorded = KeyOwner._recorded
 
     def any_digest(
-        owner: KeyOwner[Any], record: "_key_owner._Record[Any]", _digest: bytes
+        owner: KeyOwner[Any],
+        record: "_key_records.OwnedRecord[Any]",
+        _digest: bytes,
     ) -> KeyDecision[Any]:
         return recorded(owner, record, record.digest)
 
@@ -167,7 +169,9 @@
     recorded = KeyOwner._recorded
 
     def run_again(
-        owner: KeyOwner[Any], record: "_key_owner._Record[Any]", digest: bytes
+        owner: KeyOwner[Any],
+        record: "_key_records.OwnedRecord[Any]",
+        digest: bytes,
     ) -> KeyDecision[Any]:
         decision = recorded(owner, record, digest)
         joined = decision.verdict is KeyVerdict.JOIN
