End a node whose port is taken and report slots that stay

Cause: a node with a taken port stayed alive without serving and ignored SIGTERM; a drain during a platform outage logged nothing although the key slots stayed with the process. Change: exit code 1 with a log line; a warning at the end of such a drain. Ruled out: choosing another port, since ports are part of the settings.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -448,7 +448,13 @@
         self.key_owner.stop_accepting()
         self.fleet.drain()
         left = self._slots.leave(self._shutdown.drained)
-        left.addBoth(lambda _: self.close())
+        left.addBoth(self._slots_left)
+
+    def _slots_left(self, is_handed_over: object) -> None:
+        """Ends the shutdown; key slots may have stayed with this process."""
+        if is_handed_over is not True:
+            _LOG.warning("key slots or records were not handed over")
+        self.close()
 
     def _is_idle(self) -> bool:
         """Whether no request is unfinished at this node."""
--- a/packages/node/radishtray_node/main.py
+++ b/packages/node/radishtray_node/main.py
@@ -1,17 +1,21 @@
 """Entry point of `radishtray-node`."""
 
 import json
+import logging
 import os
 import signal
 import sys
 from typing import Any
 
 from twisted.internet import reactor as default_reactor
+from twisted.internet.error import CannotListenError
 
 from radishtray_node._application import Application
 from radishtray_node._logs import configure_logging
 from radishtray_node._settings import parse_settings
 
+_LOG = logging.getLogger(__name__)
+_FAILURE_EXIT_CODE = 1
 _USAGE_EXIT_CODE = 2
 
 
@@ -19,7 +23,8 @@
     """Runs one node until it is told to stop.
 
     Returns:
-        Exit code: 0 after a graceful shutdown, 2 for faulty settings.
+        Exit code: 0 after a graceful shutdown, 1 if a port is taken, 2 for
+        faulty settings.
     """
     parsed = parse_settings(sys.argv[1:], os.environ)
     if parsed.is_error():
@@ -38,8 +43,16 @@
     def reload_keys(_signal: int, _frame: object) -> None:
         reactor.callFromThread(application.reload_keys)
 
+    exit_codes = [0]
+
     def start() -> None:
-        application.start()
+        try:
+            application.start()
+        except CannotListenError as error:
+            _LOG.error("port cannot be opened", extra={"error": str(error)})
+            exit_codes.append(_FAILURE_EXIT_CODE)
+            reactor.stop()
+            return
         print(json.dumps({"ports": application.ports()}), flush=True)
 
     signal.signal(signal.SIGTERM, drain)
@@ -47,7 +60,7 @@
     signal.signal(signal.SIGHUP, reload_keys)
     reactor.callWhenRunning(start)
     reactor.run(installSignalHandlers=False)
-    return 0
+    return exit_codes[-1]
 
 
 if __name__ == "__main__":
--- a/packages/testing/radishtray_testing/tests/test_processes.py
+++ b/packages/testing/radishtray_testing/tests/test_processes.py
@@ -278,3 +278,16 @@
     answers = load.stop()
     check(answers, deployment.runs())
     assert [a for a in answers if a.status != 200] == []
+
+
+def test_a_taken_port_ends_the_node(tmp_path: Path) -> None:
+    """A node that cannot listen must not stay alive without serving."""
+    local = LocalDeployment(tmp_path)
+    try:
+        first = local.start_node("first", "a")
+        with pytest.raises(RuntimeError, match="ended with 1"):
+            local.start_node(
+                "second", "a", "--caller-port", str(first.port("caller"))
+            )
+    finally:
+        local.close()
