--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -3,21 +3,20 @@
 No module of this package does I/O. Clocks, randomness and sends are passed in.
 """
 
-from radishtray_state._admission import (
+from radishtray_state._admission import AdmissionController
+from radishtray_state._admission_policy import (
     ADMISSION_POLICIES,
-    AdmissionController,
     AdmissionPolicy,
-    Ticket,
     admission_policy,
 )
-from radishtray_state._attempts import (
+from radishtray_state._attempt_records import (
     AttemptBounds,
     AttemptPhase,
     AttemptState,
-    AttemptTable,
     ConnectionRejection,
     ConnectionToken,
 )
+from radishtray_state._attempts import AttemptTable
 from radishtray_state._clock import (
     Clock,
     ManualClock,
@@ -38,10 +37,10 @@
     SuspectNote,
     ViewSummary,
 )
-from radishtray_state._key_owner import (
+from radishtray_state._key_owner import KeyOwner
+from radishtray_state._key_records import (
     KeyBounds,
     KeyDecision,
-    KeyOwner,
     KeyRecord,
     KeyRecords,
     KeyVerdict,
@@ -88,6 +87,7 @@
     SettledAttempt,
     attempt_id,
 )
+from radishtray_state._rank_queue import Ticket
 from radishtray_state._refusal import OutcomeFamily, RefusalReason
 from radishtray_state._release import (
     ReleasePullPlan,
