--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -4,7 +4,6 @@
 import logging
 import random
 import secrets
-from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -15,6 +14,7 @@
 from radishtray_node._control_frames import ControlFrames
 from radishtray_node._entry import Entry
 from radishtray_node._fleet import Fleet
+from radishtray_node._listeners import Listeners
 from radishtray_node._local_upstream import LocalUpstream
 from radishtray_node._metrics import Metrics
 from radishtray_node._node_server import NodeServer
@@ -40,10 +40,7 @@
     UpstreamSelector,
 )
 from radishtray_transport import (
-    HttpLimits,
-    HttpServer,
     NodeIdentity,
-    NodeListener,
     PlatformClient,
 )
 
@@ -51,7 +48,6 @@
 _EXPIRE_INTERVAL_S = 0.05
 _SILENCE_INTERVAL_S = 0.25
 _SECOND_S = 1.0
-_LOOPBACK = "127.0.0.1"
 _INCARNATION_RANDOM_BITS = 20
 
 
@@ -71,16 +67,14 @@
     """
 
     __slots__ = (
-        "_caller_listener",
         "_control",
         "_document",
         "_entry",
         "_fleet",
         "_links",
+        "_listeners",
         "_loops",
-        "_node_listener",
         "_node_server",
-        "_operator_listener",
         "_reactor",
         "_replaced",
         "_rng",
@@ -91,7 +85,6 @@
         "_store",
         "_timers",
         "_unknown",
-        "_upstream_listener",
         "clock",
         "identity",
         "key_owner",
@@ -192,66 +185,39 @@
         self._rng = rng
         self._replaced: dict[str, SlotOwner] = {}
         self._fleet: Fleet | None = None
-        self._build_listeners()
+        self._entry = Entry(self.router, self._current)
+        self._node_server = NodeServer(
+            self.clock, self.server, self.metrics, self._control.received
+        )
+        self._listeners = self._build_listeners()
         self._loops = [
             (LoopingCall(self.server.expire), _EXPIRE_INTERVAL_S),
             (LoopingCall(self.router.check_silence), _SILENCE_INTERVAL_S),
             (LoopingCall(self._every_second), _SECOND_S),
         ]
 
-    def _build_listeners(self) -> None:
+    def _build_listeners(self) -> Listeners:
         settings = self.settings
-        limits = HttpLimits(
-            head_bytes=settings.max_head_bytes,
-            body_bytes=settings.max_body_bytes,
-            connections=settings.max_connections,
-            idle_s=settings.idle_time,
-            request_s=settings.request_time,
-        )
-        self._entry = Entry(self.router, self._current)
         upstream_api = UpstreamApi(
             self.router, self._current, self.upstream, self._running
         )
         operator_api = OperatorApi(
             settings.operator_token, self.status, self.drain, self.metrics
         )
-        self._caller_listener = self._http("caller", self._entry.handle, limits)
-        self._upstream_listener = self._http(
-            "upstream", upstream_api.handle, limits
-        )
-        self._operator_listener = self._http(
-            "operator", operator_api.handle, HttpLimits(connections=64)
-        )
-        self._node_server = NodeServer(
-            self.clock, self.server, self.metrics, self._control.received
-        )
-        self._node_listener = NodeListener(
+        return Listeners(
             self._reactor,
+            settings,
             self.identity,
-            settings.cluster_keys,
-            self._node_server,
-        )
-
-    def _http(
-        self, name: str, handler: Callable[..., None], limits: HttpLimits
-    ) -> HttpServer:
-        rejected = self.metrics.rejected
-        return HttpServer(
-            self._reactor,
-            handler,
-            limits,
-            lambda reason: rejected.labels(name, reason).inc(),
+            self.metrics,
+            caller=self._entry.handle,
+            upstream=upstream_api.handle,
+            operator=operator_api.handle,
+            node=self._node_server,
         )
 
     def start(self) -> None:
         """Opens the listeners and starts the periodic work."""
-        settings = self.settings
-        self._caller_listener.start(settings.caller_host, settings.caller_port)
-        self._upstream_listener.start(_LOOPBACK, settings.upstream_port)
-        self._node_listener.start(settings.address, settings.node_port)
-        self._operator_listener.start(
-            settings.operator_host, settings.operator_port
-        )
+        self._listeners.start()
         for loop, interval_s in self._loops:
             loop.clock = self._reactor
             loop.start(interval_s, now=False)
@@ -272,7 +238,7 @@
             self._rng,
             identity=self.identity,
             failure_domain=settings.failure_domain,
-            node_address=f"{settings.address}:{self._node_listener.port}",
+            node_address=f"{settings.address}:{self._listeners.node_port}",
             gossip_host=settings.address,
             gossip_port=settings.gossip_port,
             keys=settings.cluster_keys,
@@ -291,12 +257,7 @@
 
     def ports(self) -> dict[str, int]:
         """Returns the ports of the TCP listeners by name."""
-        return {
-            "caller": self._caller_listener.port,
-            "upstream": self._upstream_listener.port,
-            "node": self._node_listener.port,
-            "operator": self._operator_listener.port,
-        }
+        return self._listeners.ports()
 
     def _current(self) -> Document | None:
         return self._document
@@ -408,6 +369,7 @@
             _LOG.info("cluster keys reloaded")
 
     def _every_second(self) -> None:
+        self.fleet.check_incarnation()
         self.upstream.check_heartbeat()
         self._node_server.tick()
         self.key_owner.expire()
@@ -478,10 +440,7 @@
         if self._fleet is not None:
             self._fleet.close()
         self._store.close()
-        self._caller_listener.close()
-        self._upstream_listener.close()
-        self._operator_listener.close()
-        self._node_listener.close()
+        self._listeners.close()
         self.router.close()
         self.upstream.close()
         self._timers.close()
--- a/packages/node/radishtray_node/_fleet.py
+++ b/packages/node/radishtray_node/_fleet.py
@@ -81,6 +81,7 @@
         "_configuration",
         "_driver",
         "_events",
+        "_is_superseded",
         "_pulls",
         "_reactor",
         "_socket",
@@ -127,6 +128,7 @@
         self._reactor = reactor
         self._events = events
         self._suspects = suspects
+        self._is_superseded = False
         self._sources: dict[str, tuple[str, ParsedSource]] = {}
         self._pulls: dict[str, Deferred[wire.ReleasePush]] = {}
         self._socket = GossipSocket(keys, self._message_received)
@@ -194,6 +196,20 @@
         """Control roles that this node holds."""
         return self._configuration.held_roles
 
+    def check_incarnation(self) -> None:
+        """Reports once that a later process of this node is known.
+
+        The wall clock was set back before the start; the others ignore this
+        process until it starts again with a higher incarnation.
+        """
+        later = self.membership.superseded_by
+        if later is not None and not self._is_superseded:
+            self._is_superseded = True
+            _LOG.error(
+                "a higher incarnation of this node is known; check the clock",
+                extra={"known_incarnation": later},
+            )
+
     def start(self) -> None:
         """Starts all periodic work."""
         self._driver.start()
