--- a/packages/protocol/radishtray_protocol/__init__.py
+++ b/packages/protocol/radishtray_protocol/__init__.py
@@ -41,11 +41,11 @@
 )
 from radishtray_protocol._gen import ttypes as wire
 from radishtray_protocol._parse import (
-    ParsedSource,
     combine_sources,
     parse_document,
     parse_source,
 )
+from radishtray_protocol._parsed_source import ParsedSource
 from radishtray_protocol._release import (
     MAX_HISTORY_CHANGES,
     MAX_VALUE_BYTES,
--- /dev/null
+++ b/packages/protocol/radishtray_protocol/_parsed_source.py
@@ -0,0 +1,59 @@
+"""Sections as written, with the place of each value."""
+
+from typing import Any
+
+import yaml
+
+from radishtray_protocol._findings import Finding
+
+
+class Located:
+    """A value and its place."""
+
+    __slots__ = ("column", "line", "value")
+
+    def __init__(self, node: yaml.Node, value: Any) -> None:
+        self.line: int = node.start_mark.line + 1
+        self.column: int = node.start_mark.column + 1
+        self.value = value
+
+
+class KindDraft:
+    """A kind as written; keys with faults are absent."""
+
+    __slots__ = ("name", "values")
+
+    def __init__(self, name: Located) -> None:
+        self.name = name
+        self.values: dict[str, Located] = {}
+
+
+class SectionDraft:
+    """A section as written; keys with faults are absent."""
+
+    __slots__ = ("kinds", "name", "source", "values")
+
+    def __init__(self, source: str, name: Located) -> None:
+        self.source = source
+        self.name = name
+        self.values: dict[str, Located] = {}
+        self.kinds: list[KindDraft] = []
+
+
+class ParsedSource:
+    """The sections and findings of one text, before they are combined.
+
+    A node keeps the parsed sources of unchanged sections, so that a change of
+    one section does not parse the others again.
+    """
+
+    __slots__ = ("findings", "sections")
+
+    def __init__(
+        self,
+        sections: tuple[SectionDraft, ...],
+        findings: tuple[Finding, ...],
+    ) -> None:
+        """Holds the result of `parse_source`."""
+        self.sections = sections
+        self.findings = findings
