Test that two nodes stopping at once cut no request

Cause: planned stops of several nodes at a time were not shown. Change: an entry node and an upstream's node get SIGTERM together under load, with slow requests in flight through both. Ruled out: none.

--- a/packages/testing/radishtray_testing/tests/test_processes.py
+++ b/packages/testing/radishtray_testing/tests/test_processes.py
@@ -227,6 +227,26 @@
     assert [a for a in unkeyed if a.status != 200] == []
 
 
+def test_two_nodes_that_stop_at_once_cut_no_request(
+    deployment: Deployment,
+) -> None:
+    """An entry node and an upstream's node hand over to the one that stays."""
+    leaving = [deployment.local.nodes[n] for n in ("entry", "s-1")]
+    load = Load(deployment.local.nodes["s-2"].port("caller"), ("read", "write"))
+    load.wait(100)
+    with ThreadPoolExecutor() as pool:
+        slow = deployment.send_slow(pool)
+        for node in leaving:
+            node.signal(signal.SIGTERM)
+        exit_codes = [node.wait() for node in leaving]
+    assert [a.result() for a in slow if a.result().status != 200] == []
+    load.wait(100)
+    answers = load.stop()
+    assert exit_codes == [0, 0]
+    check(answers, deployment.runs())
+    assert [a for a in answers if a.status != 200] == []
+
+
 def test_kill_of_an_upstream_leaves_true_answers(
     deployment: Deployment,
 ) -> None:
