--- a/packages/coordination/radishtray_coordination/__init__.py
+++ b/packages/coordination/radishtray_coordination/__init__.py
@@ -10,6 +10,10 @@
 from radishtray_coordination._lease_driver import LEASE_S, LeaseDriver
 from radishtray_coordination._membership_driver import MembershipDriver
 from radishtray_coordination._release_content import ReleaseContent, take_push
+from radishtray_coordination._route_configuration import (
+    RouteConfigurationDriver,
+    TableDecoder,
+)
 from radishtray_coordination._section_collector import (
     COLLECTOR_ROLE,
     SectionCollector,
@@ -31,9 +35,11 @@
     "MembershipDriver",
     "ObjectStore",
     "ReleaseContent",
+    "RouteConfigurationDriver",
     "SectionCollector",
     "SlotDriver",
     "StoredObject",
+    "TableDecoder",
     "WatchableStore",
     "candidate_rank",
     "take_push",
--- a/packages/node/radishtray_node/__init__.py
+++ b/packages/node/radishtray_node/__init__.py
@@ -1,1 +1,21 @@
-"""The radishtray-node program."""
+"""The radishtray-node program, and the node that forwards by route."""
+
+from radishtray_node._forwarding import HeaderNames
+from radishtray_node._gateway import Gateway
+from radishtray_node._gateway_settings import (
+    GatewayAddresses,
+    GatewaySettings,
+    RepeatBounds,
+)
+from radishtray_node._logs import configure_logging
+from radishtray_node._reactor import install_reactor
+
+__all__ = [
+    "Gateway",
+    "GatewayAddresses",
+    "GatewaySettings",
+    "HeaderNames",
+    "RepeatBounds",
+    "configure_logging",
+    "install_reactor",
+]
--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -106,7 +106,7 @@
         self.settings = settings
         self.clock: Clock = SystemClock()
         self.identity = NodeIdentity(
-            settings.node_id, _new_incarnation(self.clock)
+            settings.node_id, new_incarnation(self.clock)
         )
         self.metrics = Metrics()
         self._reactor = reactor
@@ -448,7 +448,7 @@
         self._reactor.callLater(0.1, self._stopped.callback, None)
 
 
-def _new_incarnation(clock: Clock) -> int:
+def new_incarnation(clock: Clock) -> int:
     """Returns a number that rises with the time of the start.
 
     The random bits keep two processes of one millisecond apart, on which the
--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -17,6 +17,7 @@
     Clock,
     CrashSuspect,
     CrashSuspects,
+    CrashTally,
     KeyRouter,
     PerHopRetryPolicy,
     RefusalReason,
@@ -82,7 +83,7 @@
         timers: TimerWheel,
         selector: UpstreamSelector,
         keys: KeyRouter,
-        suspects: CrashSuspects,
+        suspects: CrashSuspects | CrashTally,
         server: UpstreamServer,
         metrics: Metrics,
         unknown: UnknownOutcomes,
@@ -316,6 +317,11 @@
         for link in list(self._links.values()):
             link.check_silence()
 
+    def give_up_attempts(self) -> None:
+        """Ends all attempts at other nodes as unknown and reconnects."""
+        for link in list(self._links.values()):
+            link.give_up_attempts()
+
     def close(self) -> None:
         """Closes all links."""
         for link in self._links.values():
--- a/packages/node/radishtray_node/_fleet.py
+++ b/packages/node/radishtray_node/_fleet.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
 
 from expression import Error, Ok, Result
@@ -28,6 +28,8 @@
     Clock,
     CrashSuspect,
     CrashSuspects,
+    CrashTally,
+    Datagram,
     MemberChange,
     MemberRecord,
     Membership,
@@ -69,6 +71,45 @@
         ...
 
 
+class ConfigurationSource(Protocol):
+    """Gets the configuration and hands it to other nodes.
+
+    Attributes:
+        held_roles: Control roles that this node holds.
+    """
+
+    @property
+    def held_roles(self) -> tuple[str, ...]:
+        """Control roles that this node holds."""
+        ...
+
+    def start(self) -> None:
+        """Starts to look for newer generations."""
+        ...
+
+    def close(self) -> None:
+        """Stops."""
+        ...
+
+    def peer_told(self, node_id: str, generation: int) -> None:
+        """A node has said that it knows a newer generation."""
+        ...
+
+    def answer_pull(self, have_generation: int) -> wire.ReleasePush | None:
+        """Returns what a node with an older generation lacks."""
+        ...
+
+
+Pull = Callable[[MemberRecord, int], "Deferred[wire.ReleasePush]"]
+"""Asks a member for a generation newer than the given one."""
+
+ConfigurationFactory = Callable[
+    [Membership, Callable[[Iterable[Datagram]], None], Pull],
+    ConfigurationSource,
+]
+"""Builds a source from the view, the gossip socket and the pulls."""
+
+
 class Fleet:
     """The node's view of the fleet, and what the fleet knows of the node.
 
@@ -105,8 +146,9 @@
         keys: ClusterKeys,
         seeds: tuple[str, ...],
         store: WatchableStore,
-        suspects: CrashSuspects,
+        suspects: CrashSuspects | CrashTally,
         events: FleetEvents,
+        configuration: ConfigurationFactory | None = None,
     ) -> None:
         """Opens the gossip socket and joins the parts.
 
@@ -124,6 +166,8 @@
             store: The platform's objects.
             suspects: Crash suspects, exchanged with the other nodes.
             events: What to do when the fleet changes.
+            configuration: Builds the source of the configuration; None for
+                that of documents.
         """
         self._reactor = reactor
         self._events = events
@@ -163,20 +207,27 @@
             store=store,
             seeds=seeds,
         )
-        self._configuration = ConfigurationDriver(
-            reactor,
-            clock,
-            rng,
-            store=store,
-            membership=self.membership,
-            send=self._socket.send,
-            pull=self._pull,
-            parse=self._parse,
-            on_document=self._document_changed,
-        )
-        self._collector = SectionCollector(
-            reactor, clock, rng, store=store, membership=self.membership
-        )
+        self._collector: SectionCollector | None = None
+        self._configuration: ConfigurationSource
+        if configuration is not None:
+            self._configuration = configuration(
+                self.membership, self._socket.send, self._pull
+            )
+        else:
+            self._configuration = ConfigurationDriver(
+                reactor,
+                clock,
+                rng,
+                store=store,
+                membership=self.membership,
+                send=self._socket.send,
+                pull=self._pull,
+                parse=self._parse,
+                on_document=self._document_changed,
+            )
+            self._collector = SectionCollector(
+                reactor, clock, rng, store=store, membership=self.membership
+            )
         self._suspects_loop = LoopingCall(self._publish_suspects)
         self._suspects_loop.clock = reactor
 
@@ -210,18 +261,24 @@
                 extra={"known_incarnation": later},
             )
 
+    def adopt_incarnation(self, incarnation: int) -> None:
+        """Takes an incarnation above that of an earlier process."""
+        self._socket.send(self.membership.adopt_incarnation(incarnation))
+
     def start(self) -> None:
         """Starts all periodic work."""
         self._driver.start()
         self._configuration.start()
-        self._collector.start()
+        if self._collector is not None:
+            self._collector.start()
         self._suspects_loop.start(_SUSPECTS_INTERVAL_S, now=False)
 
     def close(self) -> None:
         """Leaves the fleet and stops."""
         if self._suspects_loop.running:
             self._suspects_loop.stop()
-        self._collector.close()
+        if self._collector is not None:
+            self._collector.close()
         self._configuration.close()
         self._driver.close()
         self._socket.close()
--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -22,10 +22,6 @@
 if TYPE_CHECKING:
     from radishtray_node._upstream_server import UpstreamServer
 
-CONTEXT_HEADER = "Radishtray-Context"
-DEADLINE_HEADER = "Radishtray-Deadline-Ms"
-REQUEST_ID_HEADER = "Radishtray-Request-Id"
-KEY_HEADER = "Idempotency-Key"
 # A keyed run is not cancelled at its deadline, so that its record gets the
 # answer; this bounds how long it may hold a slot.
 _LONGEST_KEYED_RUN_S = 60.0
@@ -204,10 +200,12 @@
             return
         server = self._server
         client = server.upstream.client
+        announcement = server.upstream.announcement
         assert self._ticket is not None
-        if client is None:
+        if client is None or announcement is None:
+            # The upstream has left while this waited; nothing was sent.
             self._give_slot_back()
-            self._refuse(RefusalReason.UPSTREAM_REFUSED)
+            self._refuse(RefusalReason.NO_UPSTREAM)
             return
         self._phase = _Phase.RUNNING
         now_s = server.clock.monotonic()
@@ -216,32 +214,25 @@
         self._handle = server.running.add(self.request)
         server.upstream.suspects.started(self.request.fingerprint)
         server.running_calls.add(self)
-        call = self._call
-        self._pending = client.request(
-            call.method,
-            call.path,
-            [*call.headers, *self._context_headers(now_s)],
-            call.body,
+        self._pending = server.forwarding.send(
+            client,
+            self._call,
+            self.request,
+            self._handle,
+            max(0, int((self.request.deadline_s - now_s) * 1000)),
+            announcement.instance,
             self._answered,
             self._failed,
         )
 
-    def _context_headers(self, now_s: float) -> list[str]:
-        request = self.request
-        left_ms = max(0, int((request.deadline_s - now_s) * 1000))
-        headers = [
-            CONTEXT_HEADER,
-            self._handle,
-            DEADLINE_HEADER,
-            str(left_ms),
-            REQUEST_ID_HEADER,
-            request.request_id.hex(),
-        ]
-        if request.key is not None:
-            headers += [KEY_HEADER, request.key]
-        return headers
-
     def _answered(self, answer: HttpAnswer) -> None:
+        fault = self._server.forwarding.fault_in(answer)
+        if fault is not None:
+            self._finish_slot(is_measured=False)
+            self._server.suspect_finished(self.request.fingerprint, False)
+            self._server.upstream.note_fault(fault)
+            self._refuse(fault)
+            return
         self._finish_slot()
         self._server.suspect_finished(self.request.fingerprint, True)
         headers = without_own_headers(answer.headers)
@@ -270,7 +261,13 @@
             self._server.suspect_finished(self.request.fingerprint, False)
         self._end_unknown(RefusalReason.UPSTREAM_LOST, not is_accepting)
 
-    def _finish_slot(self) -> None:
+    def _finish_slot(self, *, is_measured: bool = True) -> None:
+        """Frees the slot.
+
+        Args:
+            is_measured: Whether the time at the upstream tells how long a run
+                takes; that of a run without an answer does not.
+        """
         server = self._server
         ticket = self._ticket
         server.running.remove(self._handle)
@@ -281,12 +278,16 @@
             self._ticket = None
             service_s = server.clock.monotonic() - self._started_s
             server.service_timer.record(service_s)
-            server.upstream.admission.finish(ticket, service_s)
+            server.upstream.admission.finish(
+                ticket, service_s if is_measured else None
+            )
 
     def cancel(self) -> None:
-        """Stops waiting work; cancels running work that is not keyed.
+        """Stops waiting work; cancels running work that may run again.
 
-        Running keyed work goes on, so that its record gets the answer.
+        Running keyed work goes on, so that its record gets the answer. So does
+        work that must not be repeated: breaking it off leaves its effect
+        unknown without saving much.
         """
         self._is_cancelled = True
         if self._phase is _Phase.WAITING and self._joined_key is not None:
@@ -295,9 +296,12 @@
         elif self._phase is _Phase.WAITING:
             self._withdraw()
             self._refuse(RefusalReason.CANCELLED_QUEUED)
-        elif self._phase is _Phase.RUNNING and self._key is None:
+        elif self._phase is _Phase.RUNNING and self._may_be_broken_off():
             self._cancel_run()
 
+    def _may_be_broken_off(self) -> bool:
+        return self._key is None and self._call.repeatable is not False
+
     def _cancel_run(self) -> None:
         self.request.cancel_calls()
         if self._pending is not None:
--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -10,8 +10,14 @@
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from radishtray_state import AdmissionController, Clock, CrashSuspects
-from radishtray_transport import HttpClient
+from radishtray_state import (
+    AdmissionController,
+    Clock,
+    CrashSuspects,
+    CrashTally,
+    RefusalReason,
+)
+from radishtray_transport import AnswerRules, HttpClient
 
 _LOG = logging.getLogger(__name__)
 HEARTBEAT_LATE_S = 3.0
@@ -21,6 +27,7 @@
 _PROBE_TIMEOUT_S = 1.0
 # Connections beyond the slots, for those that are being closed after a cancel.
 _SPARE_CONNECTIONS = 16
+_MAX_ANSWER_BYTES = 2 * 1024 * 1024
 
 
 class Announcement:
@@ -128,6 +135,7 @@
     """
 
     __slots__ = (
+        "_answer_rules",
         "_clock",
         "_heartbeat_s",
         "_on_change",
@@ -146,9 +154,10 @@
         clock: Clock,
         rng: random.Random,
         admission_policy: str,
-        suspects: CrashSuspects,
+        suspects: CrashSuspects | CrashTally,
         on_change: Callable[[], None],
         on_crash: Callable[[], None],
+        answer_rules: AnswerRules | None = None,
     ) -> None:
         """Starts without an upstream.
 
@@ -160,7 +169,9 @@
             suspects: Crash suspects known to this node.
             on_change: Called when the upstream appears, changes or leaves.
             on_crash: Called when the upstream has ended unexpectedly.
+            answer_rules: How answers of the upstream are read.
         """
+        self._answer_rules = answer_rules
         self._reactor = reactor
         self._clock = clock
         self._on_change = on_change
@@ -212,10 +223,17 @@
             announcement.host,
             announcement.port,
             announcement.slots + _SPARE_CONNECTIONS,
+            _MAX_ANSWER_BYTES,
+            self._answer_rules,
         )
         if announcement.cold_start_s > 0:
             self.admission.start_cold(announcement.cold_start_s)
 
+    def note_fault(self, fault: RefusalReason) -> None:
+        """Takes no more work for an upstream whose address has a new owner."""
+        if fault is RefusalReason.UPSTREAM_REPLACED:
+            self.leave()
+
     def leave(self) -> None:
         """Takes no new work for the upstream; running work continues."""
         if self.announcement is None:
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -239,6 +239,19 @@
             self._on_rejected("silent_connection")
             connection.abort()
 
+    def give_up_attempts(self) -> None:
+        """Ends all attempts as unknown and aborts the connection.
+
+        Needed before this node changes its incarnation.
+        """
+        lost = self._outstanding.receiver_lost()
+        connection, self._connection = self._connection, None
+        self._is_opening = False
+        if connection is not None:
+            connection.abort()
+        for settled in lost:
+            self._fail(settled.context, SendFailure.UNKNOWN)
+
     def close(self) -> None:
         """Closes the connection; attempts not handed over fail as not run."""
         self._is_closed = True
--- a/packages/node/radishtray_node/_upstream_api.py
+++ b/packages/node/radishtray_node/_upstream_api.py
@@ -6,7 +6,7 @@
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
 from radishtray_node._entry import DocumentSource
-from radishtray_node._incoming_call import CONTEXT_HEADER
+from radishtray_node._forwarding import CONTEXT_HEADER
 from radishtray_node._local_upstream import LocalUpstream, parse_announcement
 from radishtray_node._outgoing_call import OutgoingCall
 from radishtray_node._request_parts import forwarded_headers, parse_target
--- a/packages/node/radishtray_node/_upstream_server.py
+++ b/packages/node/radishtray_node/_upstream_server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from radishtray_node._call_result import CallResult
+from radishtray_node._forwarding import ContextForwarding, Forwarding
 from radishtray_node._incoming_call import DoneCallback, IncomingCall
 from radishtray_node._local_upstream import LocalUpstream
 from radishtray_node._metrics import Metrics
@@ -11,8 +12,6 @@
 from radishtray_protocol import wire
 from radishtray_state import Clock, KeyOwner, RefusalReason
 
-_BLOCKED_CRASHES = 2
-
 
 class UpstreamServer:
     """Runs calls of other nodes, and of this one, on the upstream.
@@ -29,6 +28,7 @@
         service_timer: Time at the upstream.
         on_key_not_owned: Called when a key arrived that is not owned here.
         refuses_calls: Whether the upstream's calls would be refused.
+        forwarding: The upstream's interface.
         is_draining: Whether new work is refused.
     """
 
@@ -37,6 +37,7 @@
         "_joined",
         "_suspects_waiting",
         "clock",
+        "forwarding",
         "is_draining",
         "key_owner",
         "metrics",
@@ -60,6 +61,7 @@
         metrics: Metrics,
         on_key_not_owned: Callable[[], None],
         refuses_calls: Callable[[wire.Call], bool],
+        forwarding: Forwarding | None = None,
     ) -> None:
         """Starts without calls.
 
@@ -74,7 +76,9 @@
                 node does not know to own.
             refuses_calls: Whether a service that the upstream calls for this
                 kind is known to refuse the request.
+            forwarding: The upstream's interface; the product's own if None.
         """
+        self.forwarding = forwarding or ContextForwarding()
         self.refuses_calls = refuses_calls
         self.on_key_not_owned = on_key_not_owned
         self.clock = clock
@@ -135,7 +139,8 @@
 
         This is known, and must be said, also while the upstream is down.
         """
-        return self.upstream.suspects.crashes(fingerprint) >= _BLOCKED_CRASHES
+        suspects = self.upstream.suspects
+        return suspects.crashes(fingerprint) >= suspects.blocked_crashes
 
     def join_run(self, key: bytes, call: IncomingCall) -> None:
         """Lets a resend wait for the run that has begun."""
--- a/packages/protocol/radishtray_protocol/_gen/ttypes.py
+++ b/packages/protocol/radishtray_protocol/_gen/ttypes.py
@@ -505,6 +505,8 @@
      - body
      - context
      - generation
+     - repeatable: Whether running the request twice does no harm; absent on a call with
+    its own context.
 
     """
 
@@ -518,10 +520,11 @@
         'body',
         'context',
         'generation',
+        'repeatable',
     )
 
 
-    def __init__(self, attempt_id=None, service_name=None, kind=None, method=None, path=None, headers=None, body=None, context=None, generation=None,):
+    def __init__(self, attempt_id=None, service_name=None, kind=None, method=None, path=None, headers=None, body=None, context=None, generation=None, repeatable=None,):
         self.attempt_id = attempt_id
         self.service_name = service_name
         self.kind = kind
@@ -531,6 +534,7 @@
         self.body = body
         self.context = context
         self.generation = generation
+        self.repeatable = repeatable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -592,6 +596,11 @@
                     self.generation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.repeatable = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -641,6 +650,10 @@
             oprot.writeFieldBegin('generation', TType.I64, 9)
             oprot.writeI64(self.generation)
             oprot.writeFieldEnd()
+        if self.repeatable is not None:
+            oprot.writeFieldBegin('repeatable', TType.BOOL, 10)
+            oprot.writeBool(self.repeatable)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2788,6 +2801,7 @@
     (7, TType.STRING, 'body', 'BINARY', None, ),  # 7
     (8, TType.STRUCT, 'context', [Context, None], None, ),  # 8
     (9, TType.I64, 'generation', None, None, ),  # 9
+    (10, TType.BOOL, 'repeatable', None, None, ),  # 10
 )
 all_structs.append(Answer)
 Answer.thrift_spec = (
--- a/packages/protocol/radishtray_protocol/wire.thrift
+++ b/packages/protocol/radishtray_protocol/wire.thrift
@@ -41,6 +41,9 @@
   7: required binary body
   8: required Context context
   9: required i64 generation
+  /** Whether running the request twice does no harm; absent on a call with
+   *  its own context. */
+  10: optional bool repeatable
 }
 
 struct Answer {
--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -9,6 +9,7 @@
     AdmissionPolicy,
     admission_policy,
 )
+from radishtray_state._arrival_budget import ArrivalBudget
 from radishtray_state._attempt_records import (
     AttemptBounds,
     AttemptPhase,
@@ -30,6 +31,7 @@
     suspect_host,
     suspect_hosts,
 )
+from radishtray_state._crash_tally import CrashTally
 from radishtray_state._gossip import (
     Datagram,
     GossipKind,
@@ -116,6 +118,12 @@
     UpstreamSelector,
     selection_policy,
 )
+from radishtray_state._split_rotation import SplitRotation
+from radishtray_state._upstream_reports import (
+    ReportVerdict,
+    UpstreamReport,
+    UpstreamReports,
+)
 
 __all__ = [
     "ADMISSION_POLICIES",
@@ -127,6 +135,7 @@
     "SLOT_COUNT",
     "AdmissionController",
     "AdmissionPolicy",
+    "ArrivalBudget",
     "AttemptBounds",
     "AttemptGrant",
     "AttemptPhase",
@@ -139,6 +148,7 @@
     "ConnectionToken",
     "CrashSuspect",
     "CrashSuspects",
+    "CrashTally",
     "Datagram",
     "GossipKind",
     "GossipMessage",
@@ -172,6 +182,7 @@
     "ReleasePullPlan",
     "ReleaseTracker",
     "Reopened",
+    "ReportVerdict",
     "RequestKey",
     "RetryAdvice",
     "RetryDenial",
@@ -183,10 +194,13 @@
     "SlotInterval",
     "SlotOwner",
     "SlotTable",
+    "SplitRotation",
     "SuspectNote",
     "SuspectVerdict",
     "SystemClock",
     "Ticket",
+    "UpstreamReport",
+    "UpstreamReports",
     "UpstreamSelector",
     "ViewSummary",
     "admission_policy",
--- a/packages/state/radishtray_state/_clock.py
+++ b/packages/state/radishtray_state/_clock.py
@@ -22,8 +22,12 @@
     __slots__ = ()
 
     def monotonic(self) -> float:
-        """Returns seconds of the system's monotonic clock."""
-        return time.monotonic()
+        """Returns seconds since the boot, with those of a suspended VM.
+
+        The usual monotonic clock stops while a VM is suspended, so that a
+        deadline would seem to lie later than it does for the caller.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall_ms(self) -> int:
         """Returns milliseconds since the Unix epoch."""
--- a/packages/state/radishtray_state/_crash_suspects.py
+++ b/packages/state/radishtray_state/_crash_suspects.py
@@ -172,6 +172,11 @@
         self._only_suspect: int | None = None
         self._purge_at = 0.0
 
+    @property
+    def blocked_crashes(self) -> int:
+        """Crashes from which a content is refused."""
+        return _BLOCKED
+
     def __len__(self) -> int:
         """Returns the number of entries, expired ones included."""
         return len(self._entries)
--- a/packages/state/radishtray_state/_membership.py
+++ b/packages/state/radishtray_state/_membership.py
@@ -583,6 +583,25 @@
             return
         self._renew_own(own, record.version)
 
+    def adopt_incarnation(self, incarnation: int) -> list[Datagram]:
+        """Takes a higher incarnation after another process used this node's id.
+
+        Args:
+            incarnation: Higher than that of every earlier process.
+
+        Returns:
+            What to send to other nodes.
+
+        Raises:
+            ValueError: If the incarnation does not increase.
+        """
+        if incarnation <= self._own.incarnation:
+            raise ValueError(f"incarnation {incarnation} does not increase")
+        self._superseded_by = None
+        record = dataclasses.replace(self._own, incarnation=incarnation)
+        self._renew_own(record, record.version)
+        return self._urgent_pushes()
+
     def _renew_own(self, record: MemberRecord, version: int) -> None:
         self._own = dataclasses.replace(record, version=version + 1)
         self._view.put(self._own)
--- a/packages/state/radishtray_state/_refusal.py
+++ b/packages/state/radishtray_state/_refusal.py
@@ -42,6 +42,8 @@
     DRAINING = ("draining", OutcomeFamily.NOT_RUN, 503, "the node is draining")
     NO_UPSTREAM = ("no_upstream", OutcomeFamily.NOT_RUN, 503, "no upstream of the service is available")
     UPSTREAM_REFUSED = ("upstream_refused", OutcomeFamily.NOT_RUN, 503, "the upstream accepted no connection")
+    UPSTREAM_BUSY = ("upstream_busy", OutcomeFamily.NOT_RUN, 503, "the upstream stated that it did not run the request")
+    UPSTREAM_REPLACED = ("upstream_replaced", OutcomeFamily.NOT_RUN, 503, "another process has taken the upstream's address")
     NO_CONFIGURATION = ("no_configuration", OutcomeFamily.NOT_RUN, 503, "the node has no configuration yet")
     UNKNOWN_SERVICE = ("unknown_service", OutcomeFamily.NOT_RUN, 404, "the configuration has no such service")
     UNKNOWN_KIND = ("unknown_kind", OutcomeFamily.NOT_RUN, 404, "the service has no request kind for this method and path")
--- a/packages/state/radishtray_state/_retry_policy.py
+++ b/packages/state/radishtray_state/_retry_policy.py
@@ -134,6 +134,7 @@
 @retry_rule(
     RefusalReason.DRAINING,
     RefusalReason.UPSTREAM_REFUSED,
+    RefusalReason.UPSTREAM_REPLACED,
     RefusalReason.NO_CONFIGURATION,
     RefusalReason.NEVER_ARRIVED,
     RefusalReason.KEY_NOT_OWNED,
@@ -153,6 +154,7 @@
     RefusalReason.SHED,
     RefusalReason.QUEUE_FULL,
     RefusalReason.DEADLINE_EXPECTED,
+    RefusalReason.UPSTREAM_BUSY,
     RefusalReason.NODE_LOST,
     RefusalReason.UPSTREAM_LOST,
 )
--- /dev/null
+++ b/packages/state/radishtray_state/_upstream_reports.py
@@ -0,0 +1,142 @@
+"""What an upstream says of itself, and which of its reports hold."""
+
+from enum import Enum
+from ipaddress import ip_address
+
+_MAX_SLOTS = 100_000
+_MAX_COLD_START_S = 3600.0
+
+
+class UpstreamReport:
+    """One report of an upstream about itself.
+
+    Attributes:
+        instance: Id of the upstream's process.
+        started_ms: Start of the process, in milliseconds since the epoch.
+        sequence: Rises with each report of the process.
+        service: Service that the upstream belongs to.
+        host: IP address.
+        port: TCP port.
+        slots: Requests that it runs at the same time.
+        is_leaving: Whether it takes no new work.
+        cold_left_s: Seconds for which it is still slow after its start.
+    """
+
+    __slots__ = (
+        "cold_left_s",
+        "host",
+        "instance",
+        "is_leaving",
+        "port",
+        "sequence",
+        "service",
+        "slots",
+        "started_ms",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        started_ms: int,
+        sequence: int,
+        service: str,
+        host: str,
+        port: int,
+        slots: int,
+        *,
+        is_leaving: bool,
+        cold_left_s: float,
+    ) -> None:
+        """Checks and holds the parts.
+
+        Raises:
+            ValueError: If a part is out of range.
+        """
+        if not instance or not service:
+            raise ValueError("instance and service must not be empty")
+        ip_address(host)
+        if not 0 < port < 65536:
+            raise ValueError(f"port {port} is not within 1 and 65535")
+        if not 0 < slots <= _MAX_SLOTS:
+            raise ValueError(f"slots {slots} is not within 1 and {_MAX_SLOTS}")
+        if not 0 <= cold_left_s <= _MAX_COLD_START_S:
+            raise ValueError(f"cold_left_s {cold_left_s} is out of range")
+        self.instance = instance
+        self.started_ms = started_ms
+        self.sequence = sequence
+        self.service = service
+        self.host = host
+        self.port = port
+        self.slots = slots
+        self.is_leaving = is_leaving
+        self.cold_left_s = cold_left_s
+
+
+class ReportVerdict(Enum):
+    """What to do after a report."""
+
+    STALE = "stale"
+    """Nothing: a later report of it, or of a later process, is known."""
+
+    SERVING = "serving"
+    """The upstream takes work."""
+
+    LEAVING = "leaving"
+    """The upstream takes no new work from now on."""
+
+
+class UpstreamReports:
+    """Orders the reports of the upstreams at one place.
+
+    Reports may be late and may come from a process that has ended. A process
+    that started later replaces an earlier one; a process that has said that it
+    leaves never serves again.
+    """
+
+    __slots__ = ("_has_left", "_instance", "_sequence", "_started_ms")
+
+    def __init__(self) -> None:
+        """Starts without a report."""
+        self._instance = ""
+        self._started_ms = -1
+        self._sequence = -1
+        self._has_left = False
+
+    def take(self, report: UpstreamReport) -> ReportVerdict:
+        """Takes a report and says what follows from it."""
+        if report.started_ms < self._started_ms:
+            return ReportVerdict.STALE
+        is_same = (
+            report.started_ms == self._started_ms
+            and report.instance == self._instance
+        )
+        if is_same and report.sequence <= self._sequence:
+            return ReportVerdict.STALE
+        if not is_same:
+            self._has_left = False
+        self._instance = report.instance
+        self._started_ms = report.started_ms
+        self._sequence = report.sequence
+        self._has_left = self._has_left or report.is_leaving
+        if self._has_left:
+            return ReportVerdict.LEAVING
+        return ReportVerdict.SERVING
+
+    def take_leave(self, instance: str, started_ms: int | None) -> ReportVerdict:
+        """Takes a process's statement that it ends.
+
+        Args:
+            instance: Id of the process.
+            started_ms: Its start; None if it was not stated.
+        """
+        if started_ms is not None and started_ms < self._started_ms:
+            return ReportVerdict.STALE
+        is_known = instance == self._instance
+        if not is_known and started_ms is None:
+            return ReportVerdict.STALE
+        if started_ms is not None and started_ms > self._started_ms:
+            self._started_ms = started_ms
+            self._sequence = -1
+        self._instance = instance
+        self._has_left = True
+        return ReportVerdict.LEAVING
--- a/packages/transport/radishtray_transport/__init__.py
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -10,6 +10,7 @@
 from radishtray_transport._gossip_socket import GossipCounters, GossipSocket
 from radishtray_transport._http_client import HttpClient
 from radishtray_transport._http_exchange import (
+    AnswerRules,
     HeaderList,
     HttpAnswer,
     PendingRequest,
@@ -45,6 +46,7 @@
 __all__ = [
     "ABSENT_VERSION",
     "MAX_DATAGRAM_BYTES",
+    "AnswerRules",
     "Conflict",
     "ConnectionEvents",
     "DatagramFault",
--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -10,6 +10,7 @@
 from radishtray_transport._http_connection import HttpConnection
 from radishtray_transport._http_exchange import (
     AnswerCallback,
+    AnswerRules,
     FailureCallback,
     HeaderList,
     PendingRequest,
@@ -37,6 +38,7 @@
 
     Attributes:
         max_body_bytes: Longest accepted answer body.
+        rules: How answers are read.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         "_reactor",
         "_waiting",
         "max_body_bytes",
+        "rules",
     )
 
     def __init__(
@@ -60,6 +63,7 @@
         port: int,
         max_connections: int,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+        rules: AnswerRules | None = None,
     ) -> None:
         """Prepares a client; connections open when they are needed.
 
@@ -69,8 +73,10 @@
             port: TCP port.
             max_connections: Most connections open at one time.
             max_body_bytes: Longest accepted answer body.
+            rules: How answers are read.
         """
         self.max_body_bytes = max_body_bytes
+        self.rules = rules or AnswerRules()
         self._reactor = reactor
         self._host = host
         self._port = port
@@ -95,6 +101,9 @@
         body: bytes,
         on_answer: AnswerCallback,
         on_failure: FailureCallback,
+        *,
+        host: str | None = None,
+        expected_id: str = "",
     ) -> PendingRequest:
         """Sends a request.
 
@@ -106,25 +115,44 @@
             body: The whole body.
             on_answer: Called once with the whole answer.
             on_failure: Called once if there is none.
+            host: Value of the Host header; the server's address if None.
+            expected_id: Id that the answer repeats; empty accepts any.
 
         Returns:
             The pending request, which can be cancelled.
         """
-        parts = [f"{method} {path} HTTP/1.1\r\nHost: {self._host}\r\n"]
+        parts = [f"{method} {path} HTTP/1.1\r\nHost: {host or self._host}\r\n"]
         for index in range(0, len(headers), 2):
             parts.append(f"{headers[index]}: {headers[index + 1]}\r\n")
         parts.append(f"Content-Length: {len(body)}\r\n\r\n")
         data = "".join(parts).encode("latin-1") + body
-        pending = PendingRequest(data, method == "HEAD", on_answer, on_failure)
+        pending = PendingRequest(
+            data, method == "HEAD", on_answer, on_failure, expected_id
+        )
+        connection = None if self._is_closed else self._take_idle()
         if self._is_closed:
             pending.fail(RequestFailure.NOT_CONNECTED)
-        elif self._idle:
-            self._idle.pop().send(pending)
+        elif connection is not None:
+            connection.send(pending)
         else:
             self._waiting.append(pending)
             self._connect()
         return pending
 
+    def _take_idle(self) -> HttpConnection | None:
+        """Returns the connection that was used last, unless it is too old."""
+        if not self._idle:
+            return None
+        now_s = self._reactor.seconds()  # type: ignore[attr-defined]
+        newest = self._idle[-1]
+        if now_s - newest.idle_since_s <= newest.idle_limit_s:
+            return self._idle.pop()
+        # The others have been idle for longer.
+        for connection in list(self._idle):
+            connection.transport.loseConnection()
+        self._idle.clear()
+        return None
+
     def close(self) -> None:
         """Closes each connection after its answer.
 
@@ -175,6 +203,7 @@
         elif self._is_closed:
             connection.transport.loseConnection()
         else:
+            connection.idle_since_s = self._reactor.seconds()  # type: ignore[attr-defined]
             self._idle.append(connection)
 
     def disconnected(self, connection: HttpConnection) -> None:
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -2,12 +2,14 @@
 
 from typing import Protocol
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPClient
 
 from radishtray_transport._direct_writer import DirectWriter
 from radishtray_transport._http_exchange import (
+    AnswerRules,
     HeaderList,
     HttpAnswer,
     PendingRequest,
@@ -29,6 +31,9 @@
 _VERSIONS = frozenset((b"HTTP/1.1", b"HTTP/1.0"))
 _HEX_DIGITS = b"0123456789abcdefABCDEF"
 _BODILESS_STATUSES = frozenset((204, 304))
+# Part of the idle time stated by a server after which a connection is not
+# used again: a request that crosses the server's close has an unknown outcome.
+_KEEP_ALIVE_SHARE = 0.7
 
 
 class ConnectionOwner(Protocol):
@@ -36,9 +41,11 @@
 
     Attributes:
         max_body_bytes: Longest accepted answer body.
+        rules: How answers are read.
     """
 
     max_body_bytes: int
+    rules: AnswerRules
 
     def connected(self, connection: "HttpConnection") -> None:
         """Takes a new connection into use."""
@@ -62,8 +69,17 @@
         self._client = client
         self._pending: PendingRequest | None = None
         self._max_body_bytes = client.max_body_bytes
+        self._rules = client.rules
+        self._idle_limit_s = client.rules.idle_limit_s
+        self.idle_since_s = 0.0
+        self._is_in_doubt = False
         self._reset()
 
+    @property
+    def idle_limit_s(self) -> float:
+        """Seconds after which the connection is not used again once idle."""
+        return self._idle_limit_s
+
     def _reset(self) -> None:
         self.firstLine = True
         self.length: int | None = None
@@ -79,6 +95,8 @@
         self._keep_alive = True
         self._is_whole = False
         self._has_rest = False
+        self._raw_rest = b""
+        self._is_close_delimited = False
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -140,6 +158,18 @@
             self._is_chunked = b"chunked" in val.lower()
         elif name == b"content-length":
             self._check_length(val.strip())
+        elif name == b"keep-alive":
+            self._note_keep_alive(val)
+
+    def _note_keep_alive(self, value: bytes) -> None:
+        """Takes the server's idle time, in whole seconds, if it states one."""
+        for part in value.split(b","):
+            key, _, seconds = part.strip().partition(b"=")
+            if key.lower() == b"timeout" and seconds.isdigit():
+                stated_s = int(seconds) * _KEEP_ALIVE_SHARE
+                self._idle_limit_s = min(
+                    stated_s, self._rules.idle_limit_s
+                )
 
     def _check_length(self, value: bytes) -> None:
         """Raises ValueError unless there is one length without a sign."""
@@ -164,6 +194,11 @@
         elif self._is_chunked:
             self._in_chunks = True
         elif self.length is None:
+            if self._rules.ends_with_connection:
+                self._is_close_delimited = True
+                self._keep_alive = False
+                HTTPClient.setRawMode(self)
+                return
             # Without a length a truncated body looks like a whole one.
             self._invalid()
         elif self.length > self._max_body_bytes:
@@ -196,6 +231,12 @@
         HTTPClient.setRawMode(self)
 
     def rawDataReceived(self, data: bytes) -> None:
+        if self._is_close_delimited:
+            self._received_bytes += len(data)
+            self._parts.append(data)
+            if self._received_bytes > self._max_body_bytes:
+                self._invalid()
+            return
         length = self.length or 0
         part, rest = data[:length], data[length:]
         self.length = length - len(part)
@@ -209,6 +250,7 @@
         else:
             self._complete()
             self._has_rest = bool(rest)
+            self._raw_rest = rest
             self.line_mode = 1
 
     def _complete(self) -> None:
@@ -221,7 +263,10 @@
         self._pending = None
         rest = self.clearLineBuffer()
         answer = HttpAnswer(self._status, self._headers, b"".join(self._parts))
-        if self._has_rest or rest:
+        if pending is not None and self._belongs_elsewhere(pending, answer):
+            self._skip(pending, self._raw_rest + rest)
+            return
+        if self._has_rest or rest or self._is_in_doubt:
             self.abandon()
         elif self._keep_alive:
             self._client.idle(self)
@@ -230,6 +275,31 @@
         if pending is not None:
             pending.answer(answer)
 
+    def _belongs_elsewhere(
+        self, pending: PendingRequest, answer: HttpAnswer
+    ) -> bool:
+        """Whether an answer states the id of another request."""
+        if not self._rules.id_header or not pending.expected_id:
+            return False
+        stated = answer.header(self._rules.id_header)
+        return stated is not None and stated != pending.expected_id
+
+    def _skip(self, pending: PendingRequest, rest: bytes) -> None:
+        """Drops an answer to an earlier request and waits for the right one.
+
+        The connection is closed after that one.
+        """
+        if not self._keep_alive:
+            self._pending = pending
+            self._invalid()
+            return
+        self._reset()
+        self._is_in_doubt = True
+        self._pending = pending
+        self.line_mode = 1
+        if rest:
+            self.dataReceived(rest)
+
     def _invalid(self) -> None:
         pending = self._pending
         self.abandon()
@@ -246,5 +316,13 @@
         self._client.disconnected(self)
         pending = self._pending
         self._pending = None
-        if pending is not None:
-            pending.fail(RequestFailure.CONNECTION_LOST)
+        if pending is None:
+            return
+        if self._is_close_delimited and reason.check(ConnectionDone):
+            answer = HttpAnswer(
+                self._status, self._headers, b"".join(self._parts)
+            )
+            if not self._belongs_elsewhere(pending, answer):
+                pending.answer(answer)
+                return
+        pending.fail(RequestFailure.CONNECTION_LOST)
--- a/packages/transport/radishtray_transport/_http_exchange.py
+++ b/packages/transport/radishtray_transport/_http_exchange.py
@@ -63,10 +63,49 @@
 FailureCallback = Callable[[RequestFailure], None]
 
 
+class AnswerRules:
+    """How the answers of a server are read.
+
+    Attributes:
+        ends_with_connection: Whether an answer without a length is whole once
+            its connection was closed in order.
+        id_header: Header in which the server repeats the request's id; empty
+            if it does not. An answer with another id is dropped.
+        idle_limit_s: Seconds after which an idle connection is not used again,
+            unless the server states less.
+    """
+
+    __slots__ = ("ends_with_connection", "id_header", "idle_limit_s")
+
+    def __init__(
+        self,
+        ends_with_connection: bool = False,
+        id_header: str = "",
+        idle_limit_s: float = 3600.0,
+    ) -> None:
+        """Holds the rules.
+
+        Raises:
+            ValueError: If the idle limit is not positive.
+        """
+        if idle_limit_s <= 0:
+            raise ValueError("idle_limit_s must be positive")
+        self.ends_with_connection = ends_with_connection
+        self.id_header = id_header.lower()
+        self.idle_limit_s = idle_limit_s
+
+
 class PendingRequest:
     """One request of an `HttpClient`, until its answer or failure."""
 
-    __slots__ = ("_connection", "_on_answer", "_on_failure", "data", "is_head")
+    __slots__ = (
+        "_connection",
+        "_on_answer",
+        "_on_failure",
+        "data",
+        "expected_id",
+        "is_head",
+    )
 
     def __init__(
         self,
@@ -74,6 +113,7 @@
         is_head: bool,
         on_answer: AnswerCallback,
         on_failure: FailureCallback,
+        expected_id: str = "",
     ) -> None:
         """Holds an encoded request and what to call with its result.
 
@@ -82,7 +122,9 @@
             is_head: Whether the answer has no body.
             on_answer: Called once with the whole answer.
             on_failure: Called once if there is none.
+            expected_id: Id that the answer repeats; empty accepts any.
         """
+        self.expected_id = expected_id
         self.data = data
         self.is_head = is_head
         self._on_answer: AnswerCallback | None = on_answer
