Deliver an upstream's failure when no further attempt is made

A repeatable request that an upstream had failed was answered 503, which says that it has not run, when the next choice of a node was refused.

--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -20,6 +20,7 @@
 # upstream. More would only delay the caller's answer.
 _MAX_REFUSALS = 3
 _MS_PER_S = 1000
+_SERVER_ERROR = 500
 
 # Refusals after which the request had reached an upstream.
 _ARRIVED = frozenset(
@@ -105,6 +106,7 @@
         "_deadline_timer",
         "_entry",
         "_excluded",
+        "_failed_answer",
         "_is_done",
         "_may_have_run",
         "_node_id",
@@ -154,6 +156,7 @@
         self._refusals = 0
         self._excluded: tuple[str, ...] = ()
         self._may_have_run = False
+        self._failed_answer: CallResult | None = None
         self._is_done = False
 
     @property
@@ -233,7 +236,8 @@
             return
         reason = result.refusal
         if reason is None:
-            if result.status >= 500 and self._may_repeat():
+            if result.status >= _SERVER_ERROR and self._may_repeat():
+                self._failed_answer = result
                 router.metrics.retries.labels("upstream_lost").inc()
                 self._try_again()
                 return
@@ -298,7 +302,10 @@
         self._choose()
 
     def _end_refused(self, reason: RefusalReason) -> None:
-        """Ends as not run, unless an earlier attempt may have run."""
+        """Ends as not run, unless an earlier attempt has or may have run."""
+        if self._failed_answer is not None:
+            self._finish(self._failed_answer)
+            return
         if self._may_have_run:
             reason = RefusalReason.NODE_LOST
         self._finish(CallResult.refused(reason))
@@ -315,7 +322,7 @@
             else RefusalReason.DEADLINE_QUEUED
         )
         self._entry.router.metrics.refused(reason)
-        self._finish(CallResult.refused(reason))
+        self._finish(self._failed_answer or CallResult.refused(reason))
         self._stop_attempt()
 
     def cancel(self) -> None:
