Judge all calls of a chain by the rank of its first request

Ruled out: failing upstreams (portones ran 21,096 calls well). A call now inherits class and level from the running request whose id its own id extends, and the least rank that calls further down are admitted with is handed back to where requests begin. Calls of a repeated run count as repeats at their service.

--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -233,7 +233,9 @@
             self._local_calls.pop(attempt, None)
             if not attempt.is_settled:
                 attempt.is_settled = True
-                answer = self._server.answer_frame(0, result, retries)
+                answer = self._server.answer_frame(
+                    0, result, retries, attempt.call.kind
+                )
                 attempt.on_answer(answer)
 
         incoming = self._server.serve(attempt.call, done)
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -162,6 +162,7 @@
             self._router,
             self._budget,
             BlockedContents(self.tally),
+            self._server.chains,
             settings.headers,
             settings.service,
             self._rng,
--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -11,6 +11,7 @@
 from radishtray_node._timers import Timer
 from radishtray_protocol import wire
 from radishtray_state import (
+    ChainParent,
     KeyVerdict,
     RefusalReason,
     RequestKey,
@@ -212,6 +213,15 @@
         server.queue_timer.record(now_s - self._started_s)
         self._started_s = now_s
         self._handle = server.running.add(self.request)
+        server.chains.started(
+            self.request.request_id,
+            ChainParent(
+                self._call.kind,
+                self.request.priority_class,
+                self.request.level,
+                bool(self._call.is_repeat),
+            ),
+        )
         server.upstream.suspects.started(self.request.fingerprint)
         server.running_calls.add(self)
         self._pending = server.forwarding.send(
@@ -271,6 +281,7 @@
         server = self._server
         ticket = self._ticket
         server.running.remove(self._handle)
+        server.chains.ended(self.request.request_id)
         server.running_calls.discard(self)
         if self._run_timer is not None:
             self._run_timer.cancel()
--- a/packages/node/radishtray_node/_node_server.py
+++ b/packages/node/radishtray_node/_node_server.py
@@ -136,7 +136,7 @@
 
         def done(result: CallResult, retries: int) -> None:
             self._calls.pop(key, None)
-            self._finish(token, attempt_id, result, retries)
+            self._finish(token, attempt_id, result, retries, call.kind)
 
         incoming = self._server.serve(call, done)
         if incoming.is_unanswered:
@@ -148,8 +148,9 @@
         attempt_id: int,
         result: CallResult,
         retries: int,
+        kind: str,
     ) -> None:
-        answer = self._server.answer_frame(attempt_id, result, retries)
+        answer = self._server.answer_frame(attempt_id, result, retries, kind)
         size = len(answer.body) + _ANSWER_OVERHEAD_BYTES
         current = self._table.finish(token, attempt_id, answer, size)
         connection = self._by_token.get(current) if current else None
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -16,6 +16,7 @@
 from radishtray_protocol import Route, RouteTable
 from radishtray_state import (
     ArrivalBudget,
+    CallChains,
     CrashTally,
     RefusalReason,
     SplitRotation,
@@ -32,6 +33,12 @@
 _LONGEST_PAUSE_S = 1.0
 # A caller comes back only if the pause is at most this share of its time.
 _PAUSE_SHARE = 1 / 3
+# Share of the requests that are sent although their calls are known to be
+# refused, to learn when that ends.
+_PROBE_SHARE = 0.01
+# Levels that a call is above the request that it is made for: a chain that has
+# begun comes before one that has not.
+_STARTED_BONUS = 12
 
 
 class BlockedContents:
@@ -48,6 +55,11 @@
         return self._tally.check(digest) is SuspectVerdict.REFUSE
 
 
+def _started_level(level: int) -> int:
+    """Returns the level of a call made for a running request."""
+    return min(level + _STARTED_BONUS, LEVELS_PER_CLASS - 1)
+
+
 class _Exchange:
     """One request of a caller, from its arrival to the answer."""
 
@@ -117,6 +129,7 @@
         router: Sends the calls.
         budget: Bounds repeated arrivals at upstreams.
         suspects: Contents that no upstream should run again.
+        chains: Requests that the upstream on this VM is running.
         log: Records decisions about requests.
         timer: Time from a request's arrival to its answer.
         active: Requests that have not been answered.
@@ -131,6 +144,7 @@
         "_table",
         "active",
         "budget",
+        "chains",
         "log",
         "router",
         "suspects",
@@ -142,6 +156,7 @@
         router: CallRouter,
         budget: ArrivalBudget,
         suspects: BlockedContents,
+        chains: CallChains,
         names: HeaderNames,
         service: str,
         rng: random.Random,
@@ -153,6 +168,7 @@
             router: Sends the calls.
             budget: Bounds repeated arrivals at upstreams.
             suspects: Contents that no upstream should run again.
+            chains: Requests that the upstream on this VM is running.
             names: Names of the headers that carry a request's context.
             service: Service on this VM, stated to upstreams as the caller.
             rng: Source of levels and jitter.
@@ -161,6 +177,7 @@
         self.router = router
         self.budget = budget
         self.suspects = suspects
+        self.chains = chains
         self.log = log
         self.timer = router.metrics.stage("entry")
         self.active = 0
@@ -228,14 +245,20 @@
         self.router.metrics.requests.labels(route.name).inc()
         exchange = _Exchange(self, http, route, request_id, budget_s, now_s)
         method = http.method.decode("latin-1")
+        parent = self.chains.parent_of(request_id, route.name)
         request = RoutedRequest(
             request_id,
             method,
             uri,
             self._headers(http, host),
             http.body,
-            self._rng.randrange(LEVELS_PER_CLASS),
             fingerprint(service, method + host, uri, http.body),
+            parent.priority_class if parent else route.priority_class,
+            _started_level(parent.level)
+            if parent
+            else self._rng.randrange(LEVELS_PER_CLASS),
+            is_inner=parent is not None,
+            is_repeat=parent is not None and parent.is_repeat,
         )
         exchange.start(
             RoutedCall(
@@ -249,6 +272,22 @@
             )
         )
 
+    def refuses_chain(
+        self, route: Route, request: RoutedRequest, rank: int
+    ) -> bool:
+        """Whether calls that a new request needs are known to be refused.
+
+        A request of a chain that has begun goes on: work was done for it.
+
+        Args:
+            route: Route of the request.
+            request: The request.
+            rank: Its importance, class and level.
+        """
+        if request.is_inner or rank >= self.chains.threshold(route.name):
+            return False
+        return self._rng.random() >= _PROBE_SHARE
+
     def _budget_s(self, http: HttpRequest, route: Route) -> float:
         stated = http.header(self._names.deadline_ms.encode())
         if stated is None:
--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -56,7 +56,10 @@
         path: Path with the query, as received.
         headers: Names and values to forward, alternating.
         body: The whole body.
+        priority_class: Importance from 0 to 3.
         level: Level within the priority class.
+        is_inner: Whether the request is made for another one.
+        is_repeat: Whether the run that it is made for may be a repeat.
         fingerprint: Digest of the content.
     """
 
@@ -64,9 +67,12 @@
         "body",
         "fingerprint",
         "headers",
+        "is_inner",
+        "is_repeat",
         "level",
         "method",
         "path",
+        "priority_class",
         "request_id",
     )
 
@@ -77,10 +83,17 @@
         path: str,
         headers: list[str],
         body: bytes,
-        level: int,
         fingerprint: int,
+        priority_class: int,
+        level: int,
+        *,
+        is_inner: bool = False,
+        is_repeat: bool = False,
     ) -> None:
         """Holds the parts."""
+        self.priority_class = priority_class
+        self.is_inner = is_inner
+        self.is_repeat = is_repeat
         self.request_id = request_id
         self.method = method
         self.path = path
@@ -162,9 +175,8 @@
     @property
     def rank(self) -> int:
         """Importance: class and level in one number."""
-        return (
-            self.route.priority_class * LEVELS_PER_CLASS + self._request.level
-        )
+        request = self._request
+        return request.priority_class * LEVELS_PER_CLASS + request.level
 
     def start(self) -> None:
         """Sends the first attempt."""
@@ -175,6 +187,12 @@
             return
         self._deadline_timer = entry.router.timers.after(left_s, self._expire)
         entry.budget.count_request(self.service)
+        if self._request.is_repeat:
+            entry.budget.count_inherited(self.service)
+        if entry.refuses_chain(self.route, self._request, self.rank):
+            entry.router.metrics.refused(RefusalReason.SHED)
+            self._end_refused(RefusalReason.SHED)
+            return
         self._choose()
 
     def _choose(self) -> None:
@@ -209,7 +227,7 @@
             body=request.body,
             context=wire.Context(
                 request_id=request.request_id,
-                priority_class=self.route.priority_class,
+                priority_class=request.priority_class,
                 level=request.level,
                 deadline_ms=max(0, int(left_s * _MS_PER_S)),
                 retry_budget=0,
@@ -219,11 +237,15 @@
             ),
             generation=self._version,
             repeatable=self.route.is_repeatable,
+            is_repeat=request.is_repeat or self._arrivals > 0,
         )
 
     def _answered(self, answer: wire.Answer) -> None:
         router = self._entry.router
         result = CallResult.from_wire(answer)
+        self._entry.chains.learned(
+            self.route.name, answer.chain_threshold or 0
+        )
         router.selector.observed(
             self._node_id,
             router.clock.monotonic() - self._sent_s,
--- a/packages/node/radishtray_node/_upstream_server.py
+++ b/packages/node/radishtray_node/_upstream_server.py
@@ -10,7 +10,7 @@
 from radishtray_node._running_request import MAX_DEPTH, RunningRequests
 from radishtray_node._timers import TimerWheel
 from radishtray_protocol import wire
-from radishtray_state import Clock, KeyOwner, RefusalReason
+from radishtray_state import CallChains, Clock, KeyOwner, RefusalReason
 
 
 class UpstreamServer:
@@ -18,6 +18,7 @@
 
     Attributes:
         clock: Time source.
+        chains: Requests that the upstream is running, by id.
         timers: Timers of deadlines.
         upstream: The upstream beside this node.
         key_owner: At-most-once records.
@@ -36,6 +37,7 @@
         "_calls",
         "_joined",
         "_suspects_waiting",
+        "chains",
         "clock",
         "forwarding",
         "is_draining",
@@ -82,6 +84,7 @@
         self.refuses_calls = refuses_calls
         self.on_key_not_owned = on_key_not_owned
         self.clock = clock
+        self.chains = CallChains(clock)
         self.timers = timers
         self.upstream = upstream
         self.key_owner = key_owner
@@ -178,9 +181,21 @@
         self.upstream.admission.expire()
 
     def answer_frame(
-        self, attempt_id: int, result: CallResult, retries_used: int
+        self,
+        attempt_id: int,
+        result: CallResult,
+        retries_used: int,
+        kind: str = "",
     ) -> wire.Answer:
-        """Builds the answer to a sender, with this node's load."""
+        """Builds the answer to a sender, with this node's load.
+
+        Args:
+            attempt_id: Id of the sender's attempt.
+            result: The answer or refusal.
+            retries_used: Retries that were spent for the call.
+            kind: Kind of the call; empty if calls are not told apart.
+        """
+        chain_threshold = self.chains.threshold_of_calls(kind)
         admission = self.upstream.admission
         refusal = result.refusal
         return wire.Answer(
@@ -194,4 +209,5 @@
             queue_ms=min(int(admission.queue_ms), 2**31 - 1),
             in_flight=admission.in_flight,
             crashed=result.crashed or None,
+            chain_threshold=chain_threshold or None,
         )
--- a/packages/protocol/radishtray_protocol/_gen/ttypes.py
+++ b/packages/protocol/radishtray_protocol/_gen/ttypes.py
@@ -507,6 +507,8 @@
      - generation
      - repeatable: Whether running the request twice does no harm; absent on a call with
     its own context.
+     - is_repeat: Whether an upstream may have run the request, or the one that it was
+    made for, before.
 
     """
 
@@ -521,10 +523,11 @@
         'context',
         'generation',
         'repeatable',
+        'is_repeat',
     )
 
 
-    def __init__(self, attempt_id=None, service_name=None, kind=None, method=None, path=None, headers=None, body=None, context=None, generation=None, repeatable=None,):
+    def __init__(self, attempt_id=None, service_name=None, kind=None, method=None, path=None, headers=None, body=None, context=None, generation=None, repeatable=None, is_repeat=None,):
         self.attempt_id = attempt_id
         self.service_name = service_name
         self.kind = kind
@@ -535,6 +538,7 @@
         self.context = context
         self.generation = generation
         self.repeatable = repeatable
+        self.is_repeat = is_repeat
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -601,6 +605,11 @@
                     self.repeatable = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.is_repeat = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -654,6 +663,10 @@
             oprot.writeFieldBegin('repeatable', TType.BOOL, 10)
             oprot.writeBool(self.repeatable)
             oprot.writeFieldEnd()
+        if self.is_repeat is not None:
+            oprot.writeFieldBegin('is_repeat', TType.BOOL, 11)
+            oprot.writeBool(self.is_repeat)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -711,6 +724,8 @@
      - in_flight
      - crashed
      - detail: Free text or a replacement key that belongs to the refusal.
+     - chain_threshold: Lowest rank whose calls further down are admitted, for calls of the same
+    kind.
 
     """
 
@@ -726,10 +741,11 @@
         'in_flight',
         'crashed',
         'detail',
+        'chain_threshold',
     )
 
 
-    def __init__(self, attempt_id=None, status=None, headers=None, body=None, retries_used=None, refusal=None, threshold=None, queue_ms=None, in_flight=None, crashed=None, detail=None,):
+    def __init__(self, attempt_id=None, status=None, headers=None, body=None, retries_used=None, refusal=None, threshold=None, queue_ms=None, in_flight=None, crashed=None, detail=None, chain_threshold=None,):
         self.attempt_id = attempt_id
         self.status = status
         self.headers = headers
@@ -741,6 +757,7 @@
         self.in_flight = in_flight
         self.crashed = crashed
         self.detail = detail
+        self.chain_threshold = chain_threshold
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -811,6 +828,11 @@
                     self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I16:
+                    self.chain_threshold = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -868,6 +890,10 @@
             oprot.writeFieldBegin('detail', TType.STRING, 11)
             oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
             oprot.writeFieldEnd()
+        if self.chain_threshold is not None:
+            oprot.writeFieldBegin('chain_threshold', TType.I16, 12)
+            oprot.writeI16(self.chain_threshold)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2802,6 +2828,7 @@
     (8, TType.STRUCT, 'context', [Context, None], None, ),  # 8
     (9, TType.I64, 'generation', None, None, ),  # 9
     (10, TType.BOOL, 'repeatable', None, None, ),  # 10
+    (11, TType.BOOL, 'is_repeat', None, None, ),  # 11
 )
 all_structs.append(Answer)
 Answer.thrift_spec = (
@@ -2817,6 +2844,7 @@
     (9, TType.I32, 'in_flight', None, None, ),  # 9
     (10, TType.BOOL, 'crashed', None, None, ),  # 10
     (11, TType.STRING, 'detail', 'UTF8', None, ),  # 11
+    (12, TType.I16, 'chain_threshold', None, None, ),  # 12
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/packages/protocol/radishtray_protocol/wire.thrift
+++ b/packages/protocol/radishtray_protocol/wire.thrift
@@ -44,6 +44,9 @@
   /** Whether running the request twice does no harm; absent on a call with
    *  its own context. */
   10: optional bool repeatable
+  /** Whether an upstream may have run the request, or the one that it was
+   *  made for, before. */
+  11: optional bool is_repeat
 }
 
 struct Answer {
@@ -61,6 +64,9 @@
   10: optional bool crashed
   /** Free text or a replacement key that belongs to the refusal. */
   11: optional string detail
+  /** Lowest rank whose calls further down are admitted, for calls of the same
+   *  kind. */
+  12: optional i16 chain_threshold
 }
 
 struct Cancel {
--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -18,6 +18,7 @@
     ConnectionToken,
 )
 from radishtray_state._attempts import AttemptTable
+from radishtray_state._call_chain import CallChains, ChainParent
 from radishtray_state._clock import (
     Clock,
     ManualClock,
@@ -142,7 +143,9 @@
     "AttemptState",
     "AttemptTable",
     "AttemptVerdict",
+    "CallChains",
     "Candidate",
+    "ChainParent",
     "Clock",
     "ConnectionRejection",
     "ConnectionToken",
--- a/packages/state/radishtray_state/_arrival_budget.py
+++ b/packages/state/radishtray_state/_arrival_budget.py
@@ -3,9 +3,9 @@
 from radishtray_state._clock import Clock
 
 # Part of the fleet's bound that the nodes use between them. The rest is left
-# for calls that a repeated run makes again, which no node can tell from
-# first calls.
-_USED_SHARE = 0.5
+# for calls that repeated runs make further down the chain: they are counted
+# where they are made, which is not where the repeat was granted.
+_USED_SHARE = 0.3
 _BUCKETS = 20
 
 
@@ -93,6 +93,10 @@
         """Counts the first send of a request for a service."""
         self._count(self._requests, service).add()
 
+    def count_inherited(self, service: str) -> None:
+        """Counts a call that a repeated run makes; it can't be refused."""
+        self._count(self._repeats, service).add()
+
     def take(self, service: str) -> bool:
         """Takes one repeat for a service, if the budget has one left."""
         requests = self._count(self._requests, service)
