--- /dev/null
+++ b/packages/state/radishtray_state/tests/test_upstream_reports.py
@@ -0,0 +1,116 @@
+"""Guards against late reports that revive an upstream that has gone."""
+
+import pytest
+
+from radishtray_state import ReportVerdict, UpstreamReport, UpstreamReports
+
+SERVING, LEAVING, STALE = (
+    ReportVerdict.SERVING,
+    ReportVerdict.LEAVING,
+    ReportVerdict.STALE,
+)
+
+
+def build_report(
+    instance: str, started_ms: int, sequence: int, is_leaving: bool = False
+) -> UpstreamReport:
+    return UpstreamReport(
+        instance,
+        started_ms,
+        sequence,
+        "s",
+        "10.0.0.1",
+        80,
+        4,
+        is_leaving=is_leaving,
+        cold_left_s=0.0,
+    )
+
+
+# Name: reports as (id, start, sequence, leaving), verdict of the last one.
+REPORTS = {
+    "first": ([("a", 1, 0, False)], SERVING),
+    "next": ([("a", 1, 0, False), ("a", 1, 1, False)], SERVING),
+    "repeated": ([("a", 1, 1, False), ("a", 1, 1, False)], STALE),
+    "crossed": ([("a", 1, 2, False), ("a", 1, 1, False)], STALE),
+    "leaving": ([("a", 1, 1, False), ("a", 1, 2, True)], LEAVING),
+    "ready_before_leaving_late": (
+        [("a", 1, 3, True), ("a", 1, 2, False)],
+        STALE,
+    ),
+    "ready_after_leaving": ([("a", 1, 3, True), ("a", 1, 4, False)], LEAVING),
+    "successor": ([("a", 1, 3, True), ("b", 2, 0, False)], SERVING),
+    "predecessor_late": ([("b", 2, 0, False), ("a", 1, 9, False)], STALE),
+    "same_id_started_again": (
+        [("a", 1, 50, True), ("a", 2, 0, False)],
+        SERVING,
+    ),
+    "same_id_earlier_start_late": (
+        [("a", 2, 0, False), ("a", 1, 51, True)],
+        STALE,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", REPORTS)
+def test_the_last_report_gets_its_verdict(name: str) -> None:
+    texts, verdict = REPORTS[name]
+    reports = UpstreamReports()
+    verdicts = [reports.take(build_report(*text)) for text in texts]
+    assert verdicts[-1] is verdict
+
+
+# Name: id and start in the statement, its verdict after reports of `b` at 5.
+LEAVES = {
+    "own": (("b", 5), LEAVING),
+    "own_without_start": (("b", None), LEAVING),
+    "predecessor": (("a", 4), STALE),
+    "unknown_without_start": (("a", None), STALE),
+    "successor": (("c", 6), LEAVING),
+}
+
+
+@pytest.mark.parametrize("name", LEAVES)
+def test_only_the_present_process_can_leave(name: str) -> None:
+    arguments, verdict = LEAVES[name]
+    reports = UpstreamReports()
+    reports.take(build_report("b", 5, 1))
+    assert reports.take_leave(*arguments) is verdict
+    after = reports.take(build_report("b", 5, 2))
+    expected = SERVING if verdict is STALE else LEAVING
+    assert after in (expected, STALE)
+
+
+def test_a_process_that_left_never_serves_again() -> None:
+    reports = UpstreamReports()
+    reports.take(build_report("b", 5, 1))
+    reports.take_leave("b", 5)
+    assert reports.take(build_report("b", 5, 9)) is LEAVING
+
+
+# Name: field, value out of range.
+FAULTS = {
+    "no_service": {"service": ""},
+    "no_instance": {"instance": ""},
+    "host": {"host": "example"},
+    "port": {"port": 0},
+    "slots": {"slots": 0},
+    "cold": {"cold_left_s": -1.0},
+}
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_parts_out_of_range_are_rejected(name: str) -> None:
+    fields = {
+        "instance": "a",
+        "started_ms": 1,
+        "sequence": 1,
+        "service": "s",
+        "host": "10.0.0.1",
+        "port": 80,
+        "slots": 1,
+        "is_leaving": False,
+        "cold_left_s": 0.0,
+    }
+    with pytest.raises(ValueError):
+        UpstreamReport(**(fields | FAULTS[name]))
--- a/packages/testing/radishtray_testing/memory_network.py
+++ b/packages/testing/radishtray_testing/memory_network.py
@@ -4,7 +4,11 @@
 from typing import Any
 
 from twisted.internet.address import IPv4Address
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.error import (
+    ConnectionDone,
+    ConnectionLost,
+    ConnectionRefusedError,
+)
 from twisted.internet.interfaces import IPushProducer, ITCPTransport
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.internet.task import Clock
@@ -81,7 +85,7 @@
         if data:
             self._send(data)
         if self.disconnecting:
-            self.abortConnection()
+            self._close(is_reset=False)
 
     def _send(self, data: bytes) -> None:
         peer = self._peer
@@ -117,7 +121,12 @@
         if self._is_paused:
             self._inbox.append(self.peer_closed)
         else:
-            self._lost()
+            self._lost(ConnectionDone())
+
+    def peer_reset(self) -> None:
+        """Ends the connection as a reset by the peer does."""
+        self._inbox.clear()
+        self._lost(ConnectionLost())
 
     def loseConnection(self) -> None:
         """Closes once the queue is empty."""
@@ -126,20 +135,24 @@
             self._network.callLater(0, self._flush)
 
     def abortConnection(self) -> None:
-        """Closes at once."""
-        if self.connected and self._peer is not None:
-            self._carry(self._peer.peer_closed)
+        """Resets the connection at once."""
+        self._close(is_reset=True)
+
+    def _close(self, *, is_reset: bool) -> None:
+        peer = self._peer
+        if self.connected and peer is not None:
+            self._carry(peer.peer_reset if is_reset else peer.peer_closed)
             self.connected = False
             self.disconnecting = True
-            self._network.callLater(0, self._report_lost)
+            self._network.callLater(0, self._report_lost, ConnectionDone())
 
-    def _lost(self) -> None:
+    def _lost(self, reason: Exception) -> None:
         if self.connected:
             self.connected = False
-            self._report_lost()
+            self._report_lost(reason)
 
-    def _report_lost(self) -> None:
-        self.protocol.connectionLost(Failure(ConnectionDone()))
+    def _report_lost(self, reason: Exception) -> None:
+        self.protocol.connectionLost(Failure(reason))
 
     def pauseProducing(self) -> None:
         """Keeps received bytes until `resumeProducing`."""
