--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -40,7 +40,6 @@
     Membership,
     ReportVerdict,
     SlotOwner,
-    SystemClock,
     UpstreamReport,
     UpstreamReports,
     UpstreamSelector,
@@ -116,6 +115,7 @@
     def __init__(
         self,
         reactor: Any,
+        clock: Clock,
         settings: GatewaySettings,
         store: WatchableStore,
         decode: TableDecoder,
@@ -125,6 +125,7 @@
 
         Args:
             reactor: The Twisted reactor.
+            clock: Time source; the reactor's timers must run by it.
             settings: Checked settings.
             store: The platform's objects.
             decode: Decodes the object with the routes.
@@ -132,7 +133,7 @@
                 calls `report` or `report_leaving`.
         """
         self.settings = settings
-        self.clock: Clock = SystemClock()
+        self.clock = clock
         self.identity = NodeIdentity(
             settings.node_id, new_incarnation(self.clock)
         )
@@ -176,7 +177,7 @@
         )
         self._listeners = self._build_listeners()
         self._loops = [
-            (LoopingCall(self._server.expire), _EXPIRE_INTERVAL_S),
+            (LoopingCall(self._expire_queued), _EXPIRE_INTERVAL_S),
             (LoopingCall(self._router.check_silence), _SILENCE_INTERVAL_S),
             (LoopingCall(self._every_second), _SECOND_S),
         ]
@@ -431,6 +432,10 @@
 
     # Periodic work.
 
+    def _expire_queued(self) -> None:
+        if self.upstream.admission.queued:
+            self._server.expire()
+
     def _every_second(self) -> None:
         self._node_server.tick()
         self.upstream.check_heartbeat()
