Hand the threshold of the last service of a chain back to its beginning

Answers only stated what the calls further down require, and the last service makes no calls, so nothing was ever handed back. The caller now takes the admitting node's own threshold for what its calls require. The new test of a chain of four kinds failed before.

--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -244,7 +244,7 @@
         router = self._entry.router
         result = CallResult.from_wire(answer)
         self._entry.chains.learned(
-            self.route.name, answer.chain_threshold or 0
+            self.route.name, answer.threshold, answer.chain_threshold or 0
         )
         router.selector.observed(
             self._node_id,
--- a/packages/state/radishtray_state/_call_chain.py
+++ b/packages/state/radishtray_state/_call_chain.py
@@ -48,7 +48,7 @@
         self._clock = clock
         self._running: dict[bytes, ChainParent] = {}
         self._called: dict[str, dict[str, float]] = {}
-        self._thresholds: dict[str, tuple[int, float]] = {}
+        self._thresholds: dict[str, tuple[int, int, float]] = {}
 
     def __len__(self) -> int:
         """Requests that are running on the upstream."""
@@ -76,27 +76,32 @@
             called[kind] = self._clock.monotonic() + _DEPENDENCY_MEMORY_S
         return parent
 
-    def learned(self, kind: str, threshold: int) -> None:
-        """Notes the least rank with which calls of a kind are admitted now.
+    def learned(self, kind: str, own: int, calls: int) -> None:
+        """Notes what the last answer to a call of a kind stated.
 
         Args:
-            kind: Kind of the call that was answered.
-            threshold: Least rank; 0 if every rank is admitted.
+            kind: Kind of the call.
+            own: Least rank that the node beside the upstream admits; 0 if
+                every rank is admitted.
+            calls: Least rank for which all calls further down are admitted.
         """
-        now = self._clock.monotonic()
-        if threshold or kind in self._thresholds:
-            self._thresholds[kind] = (threshold, now + _THRESHOLD_MEMORY_S)
+        if own or calls or kind in self._thresholds:
+            until = self._clock.monotonic() + _THRESHOLD_MEMORY_S
+            self._thresholds[kind] = (own, calls, until)
+
+    def _known(self, kind: str) -> tuple[int, int]:
+        known = self._thresholds.get(kind)
+        if known is None or known[2] <= self._clock.monotonic():
+            return 0, 0
+        return known[0], known[1]
 
     def threshold(self, kind: str) -> int:
-        """Returns the least rank of a kind's requests that is admitted.
+        """Returns the least rank for which the calls of a kind are admitted.
 
-        It is that which the last answer to a call of the kind stated; 0 once
-        that is too old.
+        The threshold of the kind's own service is not part of it: that differs
+        from node to node and is known to the choice of a node.
         """
-        known = self._thresholds.get(kind)
-        if known is None or known[1] <= self._clock.monotonic():
-            return 0
-        return known[0]
+        return self._known(kind)[1]
 
     def threshold_of_calls(self, kind: str) -> int:
         """Returns the least rank for which all calls of a kind are admitted."""
@@ -106,7 +111,7 @@
         now = self._clock.monotonic()
         return max(
             (
-                self.threshold(name)
+                max(self._known(name))
                 for name, until in called.items()
                 if until > now
             ),
--- a/packages/state/radishtray_state/tests/test_call_chain.py
+++ b/packages/state/radishtray_state/tests/test_call_chain.py
@@ -40,18 +40,36 @@
     chains = CallChains(clock)
     chains.started(b"r1", PARENT)
     chains.parent_of(b"r1.c1", "read")
-    chains.learned("read", 200)
-    chains.learned("unrelated", 300)
+    chains.learned("read", 200, 0)
+    chains.learned("unrelated", 300, 0)
     assert chains.threshold_of_calls("list") == 200
     assert chains.threshold_of_calls("read") == 0
-    chains.learned("read", 0)
+    chains.learned("read", 0, 0)
     assert chains.threshold_of_calls("list") == 0
 
 
+def test_a_threshold_deep_in_the_chain_reaches_its_first_request() -> None:
+    clock = ManualClock()
+    nodes = [CallChains(clock) for _ in range(3)]
+    kinds = ["list", "read", "deep", "deepest"]
+    admitted = 210
+    stated = admitted, 0
+    for node, kind, called in reversed(
+        list(zip(nodes, kinds, kinds[1:], strict=False))
+    ):
+        node.started(b"r1", ChainParent(kind, 1, 1, is_repeat=False))
+        node.parent_of(b"r1.c", called)
+        node.learned(called, *stated)
+        stated = 0, node.threshold_of_calls(kind)
+    entry = CallChains(clock)
+    entry.learned("list", *stated)
+    assert entry.threshold("list") == admitted
+
+
 def test_a_threshold_that_no_answer_renews_expires() -> None:
     clock = ManualClock()
     chains = CallChains(clock)
-    chains.learned("read", 200)
+    chains.learned("read", 0, 200)
     clock.advance(0.9)
     assert chains.threshold("read") == 200
     clock.advance(0.2)
@@ -64,5 +82,5 @@
     chains.started(b"r1", PARENT)
     chains.parent_of(b"r1.c1", "read")
     clock.advance(11)
-    chains.learned("read", 200)
+    chains.learned("read", 200, 0)
     assert chains.threshold_of_calls("list") == 0
