Tests of the gateway on simulated time and of the adapter, part of the workspace

The launcher stands in the package: a script directly under platform/ makes pytest name it platform.run_node, which replaces the standard module.

--- a/Makefile
+++ b/Makefile
@@ -10,13 +10,14 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements/constraints.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements/constraints.txt $(wildcard packages/*/pyproject.toml) \
+  platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --require-hashes -r requirements/build.txt
 	$(BIN)/pip install --quiet --no-build-isolation --require-hashes \
 	  -r requirements/constraints.txt
 	$(BIN)/pip install --quiet --no-build-isolation --no-deps \
-	  $(foreach p,$(PACKAGES),-e packages/$(p))
+	  $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 	touch $@
 
 test: $(STAMP)
@@ -26,15 +27,16 @@
 	$(BIN)/python -m radishtray_testing.demo
 
 format: $(STAMP)
-	$(BIN)/ruff format packages tools
-	$(BIN)/ruff check --fix packages tools
+	$(BIN)/ruff format packages platform tools
+	$(BIN)/ruff check --fix packages platform tools
 
 check: $(STAMP)
-	$(BIN)/ruff format --check packages tools
-	$(BIN)/ruff check packages tools
+	$(BIN)/ruff format --check packages platform tools
+	$(BIN)/ruff check packages platform tools
 
 types: $(STAMP)
-	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p)/radishtray_$(p))
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p)/radishtray_$(p)) \
+	  platform/radishtray_platform
 
 # Writes the tables of docs/operators; a test compares them with the code.
 reference: $(STAMP)
--- a/packages/node/radishtray_node/_reactor.py
+++ b/packages/node/radishtray_node/_reactor.py
@@ -72,7 +72,8 @@
         """Starts the clock before anything asks for the time."""
         self.clock = LoopClock(SystemClock())
         super().__init__()
-        self._poller = _RefreshingPoller(self._poller, self.clock)
+        poller: Any = vars(self)["_poller"]
+        self._poller = _RefreshingPoller(poller, self.clock)
 
     def seconds(self) -> float:
         """Returns seconds since boot."""
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -327,5 +327,3 @@
         )
         headers = ["Retry-After", f"{max(pause_s, 0.0):.3f}"]
         http.respond(503, headers, f"{reason.text}\n".encode())
-
-
--- a/packages/protocol/radishtray_protocol/_routes.py
+++ b/packages/protocol/radishtray_protocol/_routes.py
@@ -210,8 +210,7 @@
         "version": table.version,
         "connection_limits": table.connection_limits,
         "limits": {
-            name: getattr(table.limits, name)
-            for name in CallerLimits.__slots__
+            name: getattr(table.limits, name) for name in CallerLimits.__slots__
         },
         "routes": [
             {
--- a/packages/state/radishtray_state/_crash_tally.py
+++ b/packages/state/radishtray_state/_crash_tally.py
@@ -22,7 +22,7 @@
 class CrashTally:
     """Counts the crashes of each content until one of its runs is answered."""
 
-    __slots__ = ("_clock", "_cleared", "_entries", "_running")
+    __slots__ = ("_cleared", "_clock", "_entries", "_running")
 
     def __init__(self, clock: Clock) -> None:
         """Starts without entries."""
@@ -116,10 +116,9 @@
             if suspect.crashes == 0:
                 self._entries.pop(digest, None)
                 self._cleared[digest] = now + suspect.ttl_s
-            elif (
-                self._cleared.get(digest, 0.0) <= now
-                and suspect.crashes > self.crashes(digest)
-            ):
+            elif self._cleared.get(
+                digest, 0.0
+            ) <= now and suspect.crashes > self.crashes(digest):
                 self._put(digest, suspect.crashes, suspect.ttl_s)
 
     def export(self, limit: int = 8) -> list[CrashSuspect]:
--- a/packages/state/radishtray_state/_upstream_reports.py
+++ b/packages/state/radishtray_state/_upstream_reports.py
@@ -122,7 +122,9 @@
             return ReportVerdict.LEAVING
         return ReportVerdict.SERVING
 
-    def take_leave(self, instance: str, started_ms: int | None) -> ReportVerdict:
+    def take_leave(
+        self, instance: str, started_ms: int | None
+    ) -> ReportVerdict:
         """Takes a process's statement that it ends.
 
         Args:
--- a/packages/testing/radishtray_testing/gateway_builders.py
+++ b/packages/testing/radishtray_testing/gateway_builders.py
@@ -1,7 +1,7 @@
 """Builders of gateways, their routes, store and upstreams for tests."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -23,8 +23,18 @@
     encode_routes,
 )
 from radishtray_state import UpstreamReport
+from radishtray_testing.memory_network import MemoryNetwork
 from radishtray_testing.node_builders import NetworkClock
-from radishtray_transport import HttpLimits, HttpRequest, HttpServer, NotFound
+from radishtray_transport import (
+    HttpAnswer,
+    HttpClient,
+    HttpLimits,
+    HttpRequest,
+    HttpServer,
+    NotFound,
+    PendingRequest,
+    RequestFailure,
+)
 
 LOOPBACK = "127.0.0.1"
 KEYS = "test:" + "11" * 32
@@ -157,7 +167,7 @@
 
 
 def build_settings(
-    node_id: str, service: str, ports: tuple[int, int, int, int], **changes: Any
+    node_id: str, service: str, ports: Sequence[int], **changes: Any
 ) -> GatewaySettings:
     """Builds settings of a node on loopback.
 
@@ -267,3 +277,101 @@
     def close(self) -> None:
         """Closes the listener."""
         self._server.close()
+
+
+class GatewayFleet:
+    """Gateways with upstreams on a memory network, and a caller at each.
+
+    Attributes:
+        network: Reactor of all parts.
+        store: The platform's store.
+        gateways: The gateways by name.
+        upstreams: Their upstreams by name.
+    """
+
+    def __init__(self, table: RouteTable | None) -> None:
+        """Starts without gateways."""
+        self.network = MemoryNetwork()
+        self.store = TableStore(table)
+        self.gateways: dict[str, Gateway] = {}
+        self.upstreams: dict[str, HeaderUpstream] = {}
+        self._callers: dict[str, HttpClient] = {}
+        self._next_port = 20_000
+        self._seed = ""
+
+    def add(
+        self, name: str, service: str, *, slots: int = 8, **changes: Any
+    ) -> HeaderUpstream:
+        """Starts a gateway whose upstream reports at once."""
+        ports = tuple(range(self._next_port, self._next_port + 4))
+        self._next_port += 4
+        seeds = (self._seed,) if self._seed else ()
+        settings = build_settings(
+            name,
+            service,
+            ports,
+            **({"seeds": seeds} | changes),
+        )
+        self._seed = self._seed or f"{LOOPBACK}:{ports[3]}"
+        gateway = build_gateway(self.network, settings, self.store)
+        gateway.start()
+        upstream = HeaderUpstream(self.network, f"i-{name}")
+        gateway.report(upstream.report(service, 1, slots=slots))
+        self.gateways[name] = gateway
+        self.upstreams[name] = upstream
+        self._callers[name] = HttpClient(self.network, LOOPBACK, ports[0], 64)
+        return upstream
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        self.network.run(seconds)
+
+    def send(
+        self,
+        name: str,
+        path: str,
+        request_id: str,
+        *,
+        deadline_ms: int = 1500,
+        method: str = "GET",
+        body: bytes = b"",
+    ) -> "CallerResult":
+        """Sends a request of a caller beside a gateway."""
+        result = CallerResult()
+        result.pending = self._callers[name].request(
+            method,
+            path,
+            [NAMES.request_id, request_id, NAMES.deadline_ms, str(deadline_ms)],
+            body,
+            result.answered,
+            result.failed,
+            host="h",
+        )
+        return result
+
+
+class CallerResult:
+    """What a caller got for one request.
+
+    Attributes:
+        status: Status of the answer; 0 without one.
+        answer: The whole answer, if there is one.
+        failure: Why there is none, if that is known.
+        pending: The request; cancelling it disconnects the caller.
+    """
+
+    def __init__(self) -> None:
+        """Starts without a result."""
+        self.status = 0
+        self.answer: HttpAnswer | None = None
+        self.failure: RequestFailure | None = None
+        self.pending: PendingRequest | None = None
+
+    def answered(self, answer: HttpAnswer) -> None:
+        """Takes the answer."""
+        self.status = answer.status
+        self.answer = answer
+
+    def failed(self, failure: RequestFailure) -> None:
+        """Takes the failure."""
+        self.failure = failure
--- a/packages/testing/radishtray_testing/gateway_cost.py
+++ b/packages/testing/radishtray_testing/gateway_cost.py
@@ -41,12 +41,12 @@
         self._entry = build_gateway(
             reactor,
             build_settings(
-                "entry", "x", tuple(first), seeds=(f"{LOOPBACK}:{second[3]}",)
+                "entry", "x", first, seeds=(f"{LOOPBACK}:{second[3]}",)
             ),
             self._store,
         )
         self._far = build_gateway(
-            reactor, build_settings("far", "s", tuple(second)), self._store
+            reactor, build_settings("far", "s", second), self._store
         )
         self._upstream = HeaderUpstream(reactor, "i-1")
         self._client = HttpClient(reactor, LOOPBACK, first[0], _CONCURRENCY)
@@ -73,7 +73,12 @@
             self._started_s = time.process_time()
             if self._profile is not None:
                 self._profile.enable()
-        headers = [NAMES.request_id, f"r{self._sent}", NAMES.deadline_ms, "1500"]
+        headers = [
+            NAMES.request_id,
+            f"r{self._sent}",
+            NAMES.deadline_ms,
+            "1500",
+        ]
         self._client.request(
             "GET", "/a/x", headers, b"", self._answered, self._lost, host="h"
         )
--- a/packages/testing/radishtray_testing/memory_network.py
+++ b/packages/testing/radishtray_testing/memory_network.py
@@ -223,14 +223,40 @@
         self.is_closed = True
 
 
+class _DatagramPort:
+    """One UDP socket of a `MemoryNetwork`."""
+
+    def __init__(
+        self, network: "MemoryNetwork", port: int, protocol: Any
+    ) -> None:
+        self._network = network
+        self.port = port
+        self.protocol = protocol
+
+    def getHost(self) -> IPv4Address:
+        """Returns the socket's address."""
+        return IPv4Address("UDP", _HOST, self.port)
+
+    def write(self, data: bytes, address: tuple[str, int]) -> None:
+        """Sends a datagram; it is lost if nobody listens."""
+        self._network.callLater(
+            0.001, self._network.deliver, data, self.port, address[1]
+        )
+
+    def stopListening(self) -> None:
+        """Closes the socket."""
+        self._network.datagram_ports.pop(self.port, None)
+
+
 class MemoryNetwork(Clock):
-    """A reactor with simulated time and TCP within the process.
+    """A reactor with simulated time, TCP and UDP within the process.
 
     Attributes:
         listening: Factories by port.
         connections: The opening and the accepting end of every connection,
             by port, oldest first.
         mute_ports: Ports whose connections open, but carry nothing.
+        datagram_ports: UDP sockets by port.
     """
 
     def __init__(self) -> None:
@@ -241,8 +267,32 @@
             int, list[tuple[MemoryTransport, MemoryTransport]]
         ] = {}
         self.mute_ports: set[int] = set()
+        self.datagram_ports: dict[int, _DatagramPort] = {}
         self._next_port = 1000
 
+    def listenUDP(
+        self,
+        port: int,
+        protocol: Any,
+        interface: str = "",
+        **options: int,
+    ) -> _DatagramPort:
+        """Opens a UDP socket; port 0 chooses one."""
+        del interface, options
+        if not port:
+            self._next_port += 1
+            port = self._next_port
+        opened = _DatagramPort(self, port, protocol)
+        self.datagram_ports[port] = opened
+        protocol.makeConnection(opened)
+        return opened
+
+    def deliver(self, data: bytes, source: int, target: int) -> None:
+        """Hands a datagram to the socket at its target, if there is one."""
+        opened = self.datagram_ports.get(target)
+        if opened is not None:
+            opened.protocol.datagramReceived(data, (_HOST, source))
+
     def listenTCP(
         self, port: int, factory: Any, backlog: int = 0, interface: str = ""
     ) -> _Listening:
--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -143,7 +143,7 @@
         """Returns the connection that was used last, unless it is too old."""
         if not self._idle:
             return None
-        now_s = self._reactor.seconds()  # type: ignore[attr-defined]
+        now_s = self._reactor.seconds()
         newest = self._idle[-1]
         if now_s - newest.idle_since_s <= newest.idle_limit_s:
             return self._idle.pop()
@@ -203,7 +203,7 @@
         elif self._is_closed:
             connection.transport.loseConnection()
         else:
-            connection.idle_since_s = self._reactor.seconds()  # type: ignore[attr-defined]
+            connection.idle_since_s = self._reactor.seconds()
             self._idle.append(connection)
 
     def disconnected(self, connection: HttpConnection) -> None:
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -167,9 +167,7 @@
             key, _, seconds = part.strip().partition(b"=")
             if key.lower() == b"timeout" and seconds.isdigit():
                 stated_s = int(seconds) * _KEEP_ALIVE_SHARE
-                self._idle_limit_s = min(
-                    stated_s, self._rules.idle_limit_s
-                )
+                self._idle_limit_s = min(stated_s, self._rules.idle_limit_s)
 
     def _check_length(self, value: bytes) -> None:
         """Raises ValueError unless there is one length without a sign."""
--- a/packages/transport/radishtray_transport/tests/test_answer_rules.py
+++ b/packages/transport/radishtray_transport/tests/test_answer_rules.py
@@ -1,4 +1,4 @@
-"""Guards against answers of other requests, cut answers and stale connections."""
+"""Guards against foreign answers, cut answers and stale connections."""
 
 from typing import Any
 
@@ -42,7 +42,9 @@
         self.factory.opened = 0
         self.factory.on_request = lambda transport: None
         port = self.network.listenTCP(0, self.factory).getHost().port
-        self.client = HttpClient(self.network, "127.0.0.1", port, 4, rules=RULES)
+        self.client = HttpClient(
+            self.network, "127.0.0.1", port, 4, rules=RULES
+        )
         self.results: list[Any] = []
 
     def send(self, request_id: str, on_request: Any) -> None:
