Spend less processor time on a forwarded request

Cause: the profile of gateway_cost shows a tenth of the time in the pure Python histograms, a twentieth in Twisted's logging contexts and some in label look-ups of counters. Durations are now counted and handed to the histogram when metrics are read.

--- a/packages/node/radishtray_node/_metrics.py
+++ b/packages/node/radishtray_node/_metrics.py
@@ -13,16 +13,19 @@
 _LOWEST_US = 1
 _HIGHEST_US = 120_000_000
 _SIGNIFICANT_DIGITS = 2
+# Finer than the two significant digits of the histogram.
+_LEADING_BITS = 9
 _QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
 
 class _Latencies(Collector):
     """Histograms in microseconds, exported as summaries in seconds."""
 
-    __slots__ = ("histograms",)
+    __slots__ = ("histograms", "timers")
 
     def __init__(self) -> None:
         self.histograms: dict[str, HdrHistogram] = {}
+        self.timers: list[StageTimer] = []
 
     def collect(self) -> Iterator[Metric]:
         """Exports count, sum and quantiles of each stage."""
@@ -36,6 +39,8 @@
             "Quantile of the time spent in a stage, in seconds.",
             labels=["stage", "quantile"],
         )
+        for timer in self.timers:
+            timer.flush()
         for stage, histogram in self.histograms.items():
             count = histogram.get_total_count()
             mean_us = histogram.get_mean_value() if count else 0.0
@@ -62,19 +67,35 @@
 
 
 class StageTimer:
-    """Records durations of one stage."""
+    """Records durations of one stage.
 
-    __slots__ = ("_histogram",)
+    Recording into the histogram itself took a tenth of the processor time of a
+    request, so durations are counted by their leading bits and handed over
+    when the metrics are read.
+    """
+
+    __slots__ = ("_counts", "_histogram")
 
     def __init__(self, histogram: HdrHistogram) -> None:
         """Records into the given histogram of microseconds."""
         self._histogram = histogram
+        self._counts: dict[int, int] = {}
 
     def record(self, seconds: float) -> None:
         """Records one duration."""
-        self._histogram.record_value(
-            min(max(int(seconds * 1e6), _LOWEST_US), _HIGHEST_US)
-        )
+        value_us = int(seconds * 1e6)
+        shift = value_us.bit_length() - _LEADING_BITS
+        if shift > 0:
+            value_us = value_us >> shift << shift
+        counts = self._counts
+        counts[value_us] = counts.get(value_us, 0) + 1
+
+    def flush(self) -> None:
+        """Hands the counted durations over to the histogram."""
+        counts, self._counts = self._counts, {}
+        for value_us, count in counts.items():
+            bounded_us = min(max(value_us, _LOWEST_US), _HIGHEST_US)
+            self._histogram.record_value(bounded_us, count)
 
 
 class Metrics:
@@ -200,7 +221,9 @@
                 _LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS
             )
             self._latencies.histograms[name] = histogram
-        return StageTimer(histogram)
+        timer = StageTimer(histogram)
+        self._latencies.timers.append(timer)
+        return timer
 
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Exports a value that is read at each scrape."""
--- a/packages/node/radishtray_node/_reactor.py
+++ b/packages/node/radishtray_node/_reactor.py
@@ -1,5 +1,6 @@
 """The event loop on the product's clock."""
 
+import logging
 import sys
 from typing import Any
 
@@ -8,6 +9,8 @@
 
 from radishtray_state import Clock, SystemClock
 
+_LOG = logging.getLogger(__name__)
+
 
 class LoopClock:
     """The system's clock, read once in each turn of the event loop.
@@ -75,6 +78,28 @@
         poller: Any = vars(self)["_poller"]
         self._poller = _RefreshingPoller(poller, self.clock)
 
+    def doPoll(self, timeout: float | None) -> None:
+        """Waits for events and handles them.
+
+        Twisted's own loop opens a logging context for each event, which took
+        a twentieth of the processor time of a request.
+        """
+        try:
+            events = self._poller.poll(
+                -1 if timeout is None else timeout, len(self._selectables)
+            )
+        except InterruptedError:
+            return
+        for descriptor, event in events:
+            selectable = self._selectables.get(descriptor)
+            if selectable is not None:
+                try:
+                    self._doReadOrWrite(selectable, descriptor, event)
+                except Exception:
+                    _LOG.exception("handling of an event failed")
+
+    doIteration = doPoll
+
     def seconds(self) -> float:
         """Returns seconds since boot."""
         return self.clock.monotonic()
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
@@ -140,6 +141,7 @@
         "_not_forwarded",
         "_rng",
         "_rotations",
+        "_route_counters",
         "_service",
         "_table",
         "active",
@@ -187,6 +189,7 @@
         self._rng = rng
         self._table: RouteTable | None = None
         self._rotations: dict[str, SplitRotation] = {}
+        self._route_counters: dict[str, Callable[[], None]] = {}
 
     @property
     def version(self) -> int:
@@ -242,7 +245,7 @@
         budget_s = self._budget_s(http, route)
         service = self._rotations[route.name].next()
         self.active += 1
-        self.router.metrics.requests.labels(route.name).inc()
+        self._count(route.name)
         exchange = _Exchange(self, http, route, request_id, budget_s, now_s)
         method = http.method.decode("latin-1")
         parent = self.chains.parent_of(request_id, route.name)
@@ -272,6 +275,13 @@
             )
         )
 
+    def _count(self, route: str) -> None:
+        counter = self._route_counters.get(route)
+        if counter is None:
+            counter = self.router.metrics.requests.labels(route).inc
+            self._route_counters[route] = counter
+        counter()
+
     def refuses_chain(
         self, route: Route, request: RoutedRequest, rank: int
     ) -> bool:
