--- a/packages/testing/radishtray_testing/_reference_texts.py
+++ b/packages/testing/radishtray_testing/_reference_texts.py
@@ -34,6 +34,8 @@
     RefusalReason.DRAINING: ReasonAdvice("Send again at once, to another node.", "None during a planned stop. Otherwise find out who drained the node."),
     RefusalReason.NO_UPSTREAM: ReasonAdvice(_LATER, "Check that upstreams of the service run and announce themselves; see [install](install.md)."),
     RefusalReason.UPSTREAM_REFUSED: ReasonAdvice(_LATER, "Check the upstream process and the announced address."),
+    RefusalReason.UPSTREAM_BUSY: ReasonAdvice(_LATER, "The upstream refuses work that its node gave it: compare its announced slots with what it runs."),
+    RefusalReason.UPSTREAM_REPLACED: ReasonAdvice("Send again at once, to another node.", "Brief after an upstream was replaced. If it lasts, check which process listens at the announced address."),
     RefusalReason.NO_CONFIGURATION: ReasonAdvice(_LATER, "Check that the node reaches the platform and that a release exists: `radishtrayctl config history`."),
     RefusalReason.UNKNOWN_SERVICE: ReasonAdvice(_FIX, "Check the section of the service: `radishtrayctl config show`."),
     RefusalReason.UNKNOWN_KIND: ReasonAdvice(_FIX, "Compare the method and path with the kinds of the service."),
