Keep long bodies in their failure domain, and tests of the loop's clock

A body now raises the cost ratio at which its domain is left by 0.05 for each KiB. The timers of the platform client's test get the reactor's time, which the client asks for since it drops old connections; without it the client raised inside the reactor and the test hung.

--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -200,7 +200,12 @@
         if self._entry.suspects.is_blocked(self._request.fingerprint):
             self._end_refused(RefusalReason.CRASH_SUSPECT)
             return
-        chosen = router.selector.choose(self.service, self.rank, self._excluded)
+        chosen = router.selector.choose(
+            self.service,
+            self.rank,
+            self._excluded,
+            len(self._request.body),
+        )
         if isinstance(chosen, RefusalReason):
             router.metrics.refused(chosen)
             self._end_refused(chosen)
--- a/packages/state/radishtray_state/_selection.py
+++ b/packages/state/radishtray_state/_selection.py
@@ -23,6 +23,9 @@
 # the cost of the others; a step would move all senders of a domain at once.
 _LEAVE_FROM_RATIO = 1.25
 _LEAVE_SPAN = 1.0
+# Added to the ratio for each KiB of a request's body: bytes between failure
+# domains cost more than a short wait, and a long body also takes longer.
+_LEAVE_RATIO_PER_KIB = 0.05
 # With 4, a node that costs 10% less gets 59% of the choices between two, and
 # one that costs half gets 94%. Always taking the cheaper one would let all
 # senders that saw the same report move together.
@@ -176,7 +179,7 @@
 
 
 _Choose = Callable[
-    ["UpstreamSelector", Sequence[_Peer], Sequence[_Peer], int, float],
+    ["UpstreamSelector", Sequence[_Peer], Sequence[_Peer], int, float, int],
     _Peer | RefusalReason,
 ]
 SELECTION_POLICIES: dict[str, _Choose] = {}
@@ -245,7 +248,11 @@
                 self._peers.pop(peer.candidate.node_id, None)
 
     def choose(
-        self, service: str, rank: int, exclude: Collection[str] = ()
+        self,
+        service: str,
+        rank: int,
+        exclude: Collection[str] = (),
+        body_bytes: int = 0,
     ) -> str | RefusalReason:
         """Chooses a node for one attempt.
 
@@ -253,6 +260,7 @@
             service: Name of the service.
             rank: Importance, class * 128 + level.
             exclude: Ids of nodes that must not be chosen.
+            body_bytes: Length of the request's body.
 
         Returns:
             The node's id, or the reason why no node is worth an attempt:
@@ -270,7 +278,7 @@
         if not near and not remote:
             return RefusalReason.NO_UPSTREAM
         now = self._clock.monotonic()
-        chosen = self._choose(self, near, remote, rank, now)
+        chosen = self._choose(self, near, remote, rank, now, body_bytes)
         if isinstance(chosen, RefusalReason):
             return chosen
         return chosen.candidate.node_id
@@ -354,6 +362,7 @@
     remote: Sequence[_Peer],
     rank: int,
     now: float,
+    body_bytes: int,
 ) -> _Peer | RefusalReason:
     """Power of two choices; the own failure domain while it costs less."""
     rng = selector.rng
@@ -364,9 +373,10 @@
     if other is None or own is None:
         return (own or other)[0]  # type: ignore[index]
     ratio = own[1] / other[1]
-    if ratio <= _LEAVE_FROM_RATIO:
+    leave_from = _LEAVE_FROM_RATIO + _LEAVE_RATIO_PER_KIB * body_bytes / 1024
+    if ratio <= leave_from:
         return own[0]
-    leave = (ratio - _LEAVE_FROM_RATIO) / _LEAVE_SPAN
+    leave = (ratio - leave_from) / _LEAVE_SPAN
     return other[0] if rng.random() < leave else own[0]
 
 
@@ -377,8 +387,10 @@
     remote: Sequence[_Peer],
     rank: int,
     now: float,
+    body_bytes: int,
 ) -> _Peer | RefusalReason:
     """Any candidate with equal probability; thresholds are ignored."""
+    del rank, now, body_bytes
     index = int(selector.rng.random() * (len(near) + len(remote)))
     return near[index] if index < len(near) else remote[index - len(near)]
 
--- a/packages/state/radishtray_state/tests/test_membership_rules.py
+++ b/packages/state/radishtray_state/tests/test_membership_rules.py
@@ -187,3 +187,14 @@
     assert {r.node_id for d in sent for r in d.message.updates} <= {
         starting.own.node_id
     }
+
+
+def test_a_higher_incarnation_is_adopted_only_upwards() -> None:
+    membership, _ = node(X)
+    own = membership.own
+    with pytest.raises(ValueError, match="does not increase"):
+        membership.adopt_incarnation(own.incarnation)
+    membership.adopt_incarnation(own.incarnation + 7)
+    assert membership.own.incarnation == own.incarnation + 7
+    assert membership.own.version > own.version
+    assert membership.superseded_by is None
--- a/packages/state/radishtray_state/tests/test_selection.py
+++ b/packages/state/radishtray_state/tests/test_selection.py
@@ -194,3 +194,28 @@
 def test_invalid_arguments(attempt: Callable[[], object], message: str) -> None:
     with pytest.raises(ValueError, match=message):
         attempt()
+
+
+# Name: bytes of a body, cost of the own domain relative to the other, least
+# and greatest share that stays in the own domain.
+BODIES = {
+    "short_at_equal_cost": (400, 1.0, 1.0, 1.0),
+    "short_at_double_cost": (400, 2.0, 0.1, 0.4),
+    "long_at_double_cost": (60_000, 2.0, 1.0, 1.0),
+    "long_at_eight_times_the_cost": (60_000, 8.0, 0.0, 0.0),
+}
+
+
+@pytest.mark.parametrize("name", BODIES)
+def test_long_bodies_leave_the_failure_domain_later(name: str) -> None:
+    body_bytes, ratio, least, greatest = BODIES[name]
+    bench = Bench()
+    for _ in range(60):
+        bench.clock.advance(0.1)
+        bench.see("a1", "a2", latency_s=0.02 * ratio)
+        bench.see("b1", "b2", latency_s=0.02)
+    picks = [
+        bench.selector.choose("s", 100, (), body_bytes) for _ in range(CHOICES)
+    ]
+    stayed = sum(pick in ("a1", "a2") for pick in picks) / CHOICES
+    assert least <= stayed <= greatest
--- a/packages/testing/radishtray_testing/tests/test_platform_client.py
+++ b/packages/testing/radishtray_testing/tests/test_platform_client.py
@@ -56,6 +56,7 @@
         """Joins the real connections and the clock."""
         self.connectTCP = reactor.connectTCP
         self.callLater = clock.callLater
+        self.seconds = clock.seconds
 
 
 class PlatformClientTest(TestCase):
