Leave the last slots of an upstream free

A node now uses 94 in 100 of the announced slots. Not ruled out: upstreams without such a knee lose up to 6 in 100 of their room.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -64,6 +64,8 @@
 # Connections to the upstream that were idle for longer are not used again,
 # unless the upstream states less.
 _UPSTREAM_IDLE_S = 5.0
+# Upstreams may work slower once 95 in 100 of their slots are busy.
+_USED_SHARE = 0.94
 # A node that sees only a part of the fleet after a cut keeps the earlier
 # number for its part of the repeats.
 _FLEET_SIZE_MEMORY_S = 60.0
@@ -193,6 +195,7 @@
             self._upstream_changed,
             self._upstream_crashed,
             forwarding.answer_rules,
+            _USED_SHARE,
         )
         server = UpstreamServer(
             self.clock,
--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -158,6 +158,7 @@
         on_change: Callable[[], None],
         on_crash: Callable[[], None],
         answer_rules: AnswerRules | None = None,
+        used_share: float = 1.0,
     ) -> None:
         """Starts without an upstream.
 
@@ -170,6 +171,7 @@
             on_change: Called when the upstream appears, changes or leaves.
             on_crash: Called when the upstream has ended unexpectedly.
             answer_rules: How answers of the upstream are read.
+            used_share: Share of the upstream's slots that is used.
         """
         self._answer_rules = answer_rules
         self._reactor = reactor
@@ -180,7 +182,9 @@
         self._probe_waiters: list[Callable[[bool], None]] = []
         self.announcement: Announcement | None = None
         self.client: HttpClient | None = None
-        self.admission = AdmissionController(clock, rng, 1, admission_policy)
+        self.admission = AdmissionController(
+            clock, rng, 1, admission_policy, used_share
+        )
         self.suspects = suspects
 
     @property
--- a/packages/state/radishtray_state/_admission.py
+++ b/packages/state/radishtray_state/_admission.py
@@ -60,6 +60,7 @@
         "_service",
         "_slots",
         "_threshold",
+        "_used_share",
         "_window_start",
     )
 
@@ -69,6 +70,7 @@
         rng: random.Random,
         slots: int,
         policy: str = "adaptive",
+        used_share: float = 1.0,
     ) -> None:
         """Starts warm, with an empty queue and threshold 0.
 
@@ -78,10 +80,17 @@
                 do not move in step.
             slots: Requests that the upstream runs at the same time.
             policy: Name of a registered policy.
+            used_share: Share of the slots that is used. Some upstreams slow
+                down when they are nearly full, so that the last slots cost
+                more than they bring.
 
         Raises:
-            ValueError: If the policy is unknown or slots is not positive.
+            ValueError: If the policy is unknown, slots is not positive or the
+                share is not above 0 and at most 1.
         """
+        if not 0 < used_share <= 1:
+            raise ValueError(f"used share {used_share} is not within 0 and 1")
+        self._used_share = used_share
         if policy not in ADMISSION_POLICIES:
             known = ", ".join(sorted(ADMISSION_POLICIES))
             raise ValueError(f"admission policy {policy!r} is none of {known}")
@@ -133,7 +142,7 @@
         """
         if slots < 1:
             raise ValueError(f"an upstream needs at least 1 slot, not {slots}")
-        self._slots = slots
+        self._slots = max(1, int(slots * self._used_share))
         self._dispatch()
 
     def start_cold(self, seconds: float) -> None:
--- a/packages/state/radishtray_state/tests/test_admission.py
+++ b/packages/state/radishtray_state/tests/test_admission.py
@@ -175,3 +175,35 @@
 def test_invalid_arguments(attempt: Callable[[], object], message: str) -> None:
     with pytest.raises(ValueError, match=message):
         attempt()
+
+
+# Name: slots, share in use, requests that run at the same time.
+USED = {
+    "all": (16, 1.0, 16),
+    "below_full": (16, 0.94, 15),
+    "many": (202, 0.94, 189),
+    "one": (1, 0.94, 1),
+}
+
+
+@pytest.mark.parametrize("name", USED)
+def test_the_last_slots_of_an_upstream_stay_free(name: str) -> None:
+    slots, share, running = USED[name]
+    controller = AdmissionController(
+        ManualClock(), random.Random(1), slots, "no_threshold", share
+    )
+    started: list[int] = []
+    for number in range(slots + 5):
+        ticket = Ticket(
+            200, 1e9, lambda n=number: started.append(n), lambda reason: None
+        )
+        controller.submit(ticket)
+    assert len(started) == running
+
+
+@pytest.mark.parametrize("share", [0.0, -0.5, 1.01])
+def test_a_share_out_of_range_is_rejected(share: float) -> None:
+    with pytest.raises(ValueError, match="used share"):
+        AdmissionController(
+            ManualClock(), random.Random(1), 4, used_share=share
+        )
