Serve the upstream while requests are still expected after a stop signal

Ruled out: overload, the store.

The test of stops in turn also found a division by zero in the choice of a node: answers that took no time on the loop's clock made a cost of zero. The least latency is now 10 us; the test of it failed before.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -475,13 +475,15 @@
         return self._stopped
 
     def drain(self) -> None:
-        """Starts a planned stop; safe to repeat."""
+        """Starts a planned stop; safe to repeat.
+
+        While callers still send requests here, the upstream is served as well:
+        where nodes are stopped in turn, the others may be away just then.
+        """
         if self._is_draining:
             return
         _LOG.info("draining", extra={"active": self.entry.active})
         self._is_draining = True
-        self._server.is_draining = True
-        self.fleet.drain()
         now_s = self.clock.monotonic()
         self._stop_deadline_s = now_s + self.settings.stop_s
         self._reactor.callLater(
@@ -489,6 +491,8 @@
         )
 
     def _close_when_idle(self) -> None:
+        self._server.is_draining = True
+        self.fleet.drain()
         # Connections without a request close now, the others after theirs.
         self._listeners[0][0].close()
         self._finish_when_idle()
--- a/packages/state/radishtray_state/_selection.py
+++ b/packages/state/radishtray_state/_selection.py
@@ -19,6 +19,9 @@
 _PROBE_SHARE = 0.01
 # Latency of a node before any node of the service has answered, in seconds.
 _UNKNOWN_LATENCY_S = 0.01
+# A clock that is read once in each turn of the loop can show no time at all;
+# costs are divided by each other.
+_LEAST_LATENCY_S = 1e-5
 # The own failure domain is left gradually between these ratios of its cost to
 # the cost of the others; a step would move all senders of a domain at once.
 _LEAVE_FROM_RATIO = 1.25
@@ -159,7 +162,8 @@
         weight = min(0.3, max(0.05, 1 - exp(-age / _LATENCY_MEMORY_S)))
         if self._latency_at == -inf:
             weight = 1.0
-        self.latency_s += weight * (latency_s - self.latency_s)
+        seen_s = max(latency_s, _LEAST_LATENCY_S)
+        self.latency_s += weight * (seen_s - self.latency_s)
         self._latency_at = now
 
 
--- a/packages/state/radishtray_state/tests/test_selection.py
+++ b/packages/state/radishtray_state/tests/test_selection.py
@@ -219,3 +219,12 @@
     ]
     stayed = sum(pick in ("a1", "a2") for pick in picks) / CHOICES
     assert least <= stayed <= greatest
+
+
+def test_answers_that_took_no_time_do_not_stop_the_choice() -> None:
+    bench = Bench()
+    nodes = [Candidate("c1", "a", 40), Candidate("c2", "a", 40)]
+    bench.selector.set_candidates("t", nodes)
+    bench.see("c1", "c2", latency_s=0.0)
+    picks = {bench.selector.choose("t", 100) for _ in range(100)}
+    assert picks == {"c1", "c2"}
