--- a/packages/node/radishtray_node/tests/test_timers.py
+++ b/packages/node/radishtray_node/tests/test_timers.py
@@ -1,5 +1,7 @@
 """Guards against deadlines that are lost when the loop was busy."""
 
+from typing import Any
+
 import pytest
 
 from radishtray_node._timers import TimerWheel
@@ -41,3 +43,22 @@
     wheel = TimerWheel(network)
     wheel.after(0.1, lambda: pytest.fail("ran")).cancel()
     network.run(1)
+
+
+def test_a_cancelled_timer_does_not_wake_the_loop() -> None:
+    """A node had woken a hundred times a second while requests ran."""
+    network = MemoryNetwork()
+    wheel = TimerWheel(network)
+    wakes = 0
+
+    def counted(*arguments: Any) -> Any:
+        nonlocal wakes
+        wakes += 1
+        return call_later(*arguments)
+
+    call_later = network.callLater
+    network.callLater = counted  # type: ignore[method-assign]
+    for _ in range(200):
+        wheel.after(1.0, lambda: pytest.fail("ran")).cancel()
+        network.run(0.01)
+    assert wakes <= 4
