--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -45,7 +45,6 @@
 )
 
 _LOG = logging.getLogger(__name__)
-_EXPIRE_INTERVAL_S = 0.05
 _SILENCE_INTERVAL_S = 0.25
 _SECOND_S = 1.0
 _INCARNATION_RANDOM_BITS = 20
@@ -191,7 +190,6 @@
         )
         self._listeners = self._build_listeners()
         self._loops = [
-            (LoopingCall(self.server.expire), _EXPIRE_INTERVAL_S),
             (LoopingCall(self.router.check_silence), _SILENCE_INTERVAL_S),
             (LoopingCall(self._every_second), _SECOND_S),
         ]
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -54,7 +54,6 @@
 )
 
 _LOG = logging.getLogger(__name__)
-_EXPIRE_INTERVAL_S = 0.05
 _SILENCE_INTERVAL_S = 0.25
 _SECOND_S = 1.0
 _DRAIN_POLL_S = 0.05
@@ -183,7 +182,6 @@
         )
         self._listeners = self._build_listeners()
         self._loops = [
-            (LoopingCall(self._expire_queued), _EXPIRE_INTERVAL_S),
             (LoopingCall(self._router.check_silence), _SILENCE_INTERVAL_S),
             (LoopingCall(self._every_second), _SECOND_S),
         ]
@@ -440,10 +438,6 @@
 
     # Periodic work.
 
-    def _expire_queued(self) -> None:
-        if self.upstream.admission.queued:
-            self._server.expire()
-
     def _every_second(self) -> None:
         self._node_server.tick()
         self.upstream.check_heartbeat()
--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -186,6 +186,8 @@
         if reason is not None:
             self._ticket = None
             self._refuse(reason)
+        else:
+            self._server.expire_queued()
 
     def _give_slot_back(self) -> None:
         ticket = self._ticket
--- a/packages/node/radishtray_node/_upstream_server.py
+++ b/packages/node/radishtray_node/_upstream_server.py
@@ -12,6 +12,9 @@
 from radishtray_protocol import wire
 from radishtray_state import CallChains, Clock, KeyOwner, RefusalReason
 
+# Short beside the deadlines of calls, which are a second or so.
+_EXPIRE_INTERVAL_S = 0.05
+
 
 class UpstreamServer:
     """Runs calls of other nodes, and of this one, on the upstream.
@@ -35,6 +38,7 @@
 
     __slots__ = (
         "_calls",
+        "_is_expiring",
         "_joined",
         "_suspects_waiting",
         "chains",
@@ -95,6 +99,7 @@
         self.running_calls: set[IncomingCall] = set()
         self.is_draining = False
         self._calls = 0
+        self._is_expiring = False
         self._joined: dict[bytes, list[IncomingCall]] = {}
         self._suspects_waiting: list[IncomingCall] = []
 
@@ -176,9 +181,19 @@
         self.upstream.suspects.upstream_crashed()
         self.release_suspects()
 
-    def expire(self) -> None:
-        """Drops queued calls that are too late; call often."""
+    def expire_queued(self) -> None:
+        """Drops queued calls that are too late, again and again.
+
+        Call when a call may have been queued; an empty queue costs nothing.
+        """
+        if self.upstream.admission.queued and not self._is_expiring:
+            self._is_expiring = True
+            self.timers.after(_EXPIRE_INTERVAL_S, self._expire)
+
+    def _expire(self) -> None:
+        self._is_expiring = False
         self.upstream.admission.expire()
+        self.expire_queued()
 
     def answer_frame(
         self,
--- a/packages/testing/radishtray_testing/node_builders.py
+++ b/packages/testing/radishtray_testing/node_builders.py
@@ -257,7 +257,6 @@
 
     def _start_loops(self, network: MemoryNetwork) -> None:
         for action, interval_s in (
-            (self.server.expire, 0.05),
             (self.router.check_silence, 0.25),
             (self._every_second, 1.0),
         ):
