--- a/packages/transport/radishtray_transport/_http_channel.py
+++ b/packages/transport/radishtray_transport/_http_channel.py
@@ -1,7 +1,7 @@
 """One accepted HTTP/1.1 connection and its requests.
 
-`httptools` parses: reading a request with `twisted.web` took more processor
-time than all decisions about it (docs/design.md, section 9).
+`httptools` parses, since `twisted.web` took too much processor time
+(docs/design.md, section 9).
 """
 
 import logging
--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -1,7 +1,7 @@
 """A small keep-alive HTTP/1.1 client with callbacks.
 
 `twisted.web.client.Agent` costs more than a millisecond a call, so requests to
-upstreams use this client on the public `twisted.web.http.HTTPClient`.
+upstreams use this client, whose connections are read by `httptools`.
 """
 
 from twisted.internet.interfaces import IReactorTCP
