Read on after many requests sent ahead of their answers

Cause: reading stops while 16 requests wait, and was only resumed while some still waited; a handler that answers at once empties the queue in one turn, and the connection stayed paused for good.

--- a/packages/transport/radishtray_transport/_http_channel.py
+++ b/packages/transport/radishtray_transport/_http_channel.py
@@ -214,6 +214,7 @@
         self._waiting: deque[HttpRequest] = deque()
         self._current: HttpRequest | None = None
         self._is_dispatching = False
+        self._is_paused = False
         self._rejection: tuple[bytes, str] | None = None
         self._is_closed = False
         self._receiving_since_s: float | None = None
@@ -369,10 +370,12 @@
             self._limit_reading()
 
     def _limit_reading(self) -> None:
-        if len(self._waiting) >= _MAX_PIPELINED:
+        is_full = len(self._waiting) >= _MAX_PIPELINED
+        if is_full and not self._is_paused:
             self.transport.pauseProducing()
-        elif self._waiting:
+        elif self._is_paused and not is_full:
             self.transport.resumeProducing()
+        self._is_paused = is_full
 
     def request_answered(self, request: HttpRequest) -> None:
         """Continues with the next request on the connection."""
--- a/packages/transport/radishtray_transport/tests/test_http_server.py
+++ b/packages/transport/radishtray_transport/tests/test_http_server.py
@@ -263,6 +263,20 @@
     assert bodies == [b"%d" % i for i in range(40)]
 
 
+def test_reading_goes_on_after_many_requests_sent_ahead() -> None:
+    """A connection that was paused for them must not stay so."""
+    bench = Bench()
+    bench.holds = True
+    raw = bench.send(post(b"x") * 40)
+    bench.holds = False
+    bench.held[0].respond(200, [], b"")
+    bench.network.run(0.1)
+    assert len(statuses(raw)) == 40
+    raw.transport.write(GET)
+    bench.network.run(0.1)
+    assert len(statuses(raw)) == 41
+
+
 def test_malformed_input_does_not_overtake_a_running_request() -> None:
     bench = Bench()
     bench.holds = True
