Wait for the newest of the slot tables that were asked for

Cause: a node that needs an owner asks up to three nodes for their slot table and went on with the first answer.

Now the wait ends with an owner that was not yet asked, with the last answer, or after the timeout as before.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -178,7 +178,7 @@
             self.router.keys,
             self._slot_members,
             self.send_control,
-            self.router.slot_table_refreshed,
+            self.router.slot_table_received,
         )
         self._control = ControlFrames(self._slots, lambda: self.fleet)
         self._rng = rng
--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -36,6 +36,16 @@
 """Returns a link to a node id, or None if its address is not known."""
 
 
+class _TableWait:
+    """Calls that wait for a service's key slot table."""
+
+    __slots__ = ("replies_left", "waiters")
+
+    def __init__(self, replies_left: int) -> None:
+        self.replies_left = replies_left
+        self.waiters: list[tuple[Callable[[], bool], Callable[[], None]]] = []
+
+
 class CallRouter:
     """Sends calls to nodes beside upstreams.
 
@@ -62,7 +72,7 @@
         "_server",
         "_suspect_nodes",
         "_suspects",
-        "_table_waiters",
+        "_table_waits",
         "_throttle",
         "clock",
         "generation",
@@ -135,7 +145,7 @@
         self._links: dict[str, PeerLink] = {}
         self._candidates: dict[str, tuple[str, ...]] = {}
         self._local_calls: dict[SentAttempt, IncomingCall] = {}
-        self._table_waiters: dict[str, list[Callable[[], None]]] = {}
+        self._table_waits: dict[str, _TableWait] = {}
         self._first_attempts = metrics.attempts
 
     def set_candidates(self, service: str, nodes: list[Candidate]) -> None:
@@ -254,34 +264,63 @@
             link.cancel(attempt)
 
     def refresh_slot_table(
-        self, service: str, done: Callable[[], None]
+        self,
+        service: str,
+        done: Callable[[], None],
+        is_resolved: Callable[[], bool] = lambda: True,
     ) -> None:
-        """Asks a node of a service for its key slot table.
+        """Asks nodes of a service for its key slot table.
 
         Args:
             service: Name of the service.
-            done: Called once a table arrived or the wait is over.
+            done: Called once the wait is over.
+            is_resolved: Whether the table that is known now is enough. A node
+                may answer with an older table than another one, so the wait
+                goes on until all have answered or a timeout.
         """
-        waiters = self._table_waiters.get(service)
-        if waiters is not None:
-            waiters.append(done)
+        wait = self._table_waits.get(service)
+        if wait is not None:
+            wait.waiters.append((is_resolved, done))
             return
-        self._table_waiters[service] = [done]
+        nodes = self._candidates.get(service, ())
+        targets = self._rng.sample(nodes, min(_PULL_TARGETS, len(nodes)))
+        wait = self._table_waits[service] = _TableWait(len(targets))
+        wait.waiters.append((is_resolved, done))
         self.timers.after(
-            _TABLE_PULL_TIMEOUT_S, lambda: self.slot_table_refreshed(service)
+            _TABLE_PULL_TIMEOUT_S, lambda: self._end_table_wait(service, wait)
         )
         frame = wire.Frame(
             slot_table_pull=wire.SlotTablePull(service_name=service)
         )
-        nodes = self._candidates.get(service, ())
-        targets = self._rng.sample(nodes, min(_PULL_TARGETS, len(nodes)))
         for node_id in targets:
             self.send_control(node_id, frame)
 
-    def slot_table_refreshed(self, service: str) -> None:
-        """Continues the calls that wait for a service's table."""
-        for done in self._table_waiters.pop(service, ()):
-            done()
+    def slot_table_received(self, service: str, is_reply: bool) -> None:
+        """Continues the calls that a received table is enough for.
+
+        Args:
+            service: Name of the service.
+            is_reply: Whether a node answered; else it sent the table unasked.
+        """
+        wait = self._table_waits.get(service)
+        if wait is None:
+            return
+        wait.replies_left -= is_reply
+        if wait.replies_left <= 0:
+            self._end_table_wait(service, wait)
+            return
+        waiters, wait.waiters = wait.waiters, []
+        for is_resolved, done in waiters:
+            if is_resolved():
+                done()
+            else:
+                wait.waiters.append((is_resolved, done))
+
+    def _end_table_wait(self, service: str, wait: _TableWait) -> None:
+        if self._table_waits.get(service) is wait:
+            del self._table_waits[service]
+            for _, done in wait.waiters:
+                done()
 
     def send_control(self, node_id: str, frame: wire.Frame) -> bool:
         """Sends a frame that needs no settlement.
--- a/packages/node/radishtray_node/_control_frames.py
+++ b/packages/node/radishtray_node/_control_frames.py
@@ -30,7 +30,7 @@
             if reply is not None:
                 connection.send(reply)
         elif frame.slot_table_push is not None:
-            self._slots.table_received(frame.slot_table_push)
+            self._slots.table_received(frame.slot_table_push, is_reply=False)
         elif frame.key_records is not None:
             connection.send(self._slots.records_received(frame.key_records))
         elif frame.release_pull is not None:
@@ -39,7 +39,7 @@
     def replied(self, node_id: str, frame: wire.Frame) -> None:
         """Takes the reply of a node to a control frame."""
         if frame.slot_table_push is not None:
-            self._slots.table_received(frame.slot_table_push)
+            self._slots.table_received(frame.slot_table_push, is_reply=True)
         elif frame.key_records_ack is not None:
             self._slots.records_acknowledged(frame.key_records_ack)
         elif frame.release_push is not None:
--- a/packages/node/radishtray_node/_outgoing_call.py
+++ b/packages/node/radishtray_node/_outgoing_call.py
@@ -174,6 +174,7 @@
                     self._router.keys.route_again(service, key, pristine),
                     is_retry,
                 ),
+                lambda: self._knows_another_owner(service, key),
             )
         else:
             retry_key = (
@@ -182,6 +183,12 @@
             self._router.metrics.refused(route.reason)
             self._finish(CallResult.refused(route.reason, retry_key))
 
+    def _knows_another_owner(self, service: str, key: RequestKey) -> bool:
+        """Whether the known table names an owner that was not yet asked."""
+        owner = self._router.keys.owner(service, key)
+        asked = self._forward.owner if self._forward is not None else None
+        return owner is not None and owner != asked
+
     def _send(self, node_id: str, is_retry: bool) -> None:
         grant = self._request.ledger.begin(
             is_retry and self._router.is_retry_bound
--- a/packages/node/radishtray_node/_slot_service.py
+++ b/packages/node/radishtray_node/_slot_service.py
@@ -46,7 +46,7 @@
         "_clock",
         "_driver",
         "_members",
-        "_on_refreshed",
+        "_on_received",
         "_owner",
         "_reactor",
         "_rng",
@@ -66,7 +66,7 @@
         router: KeyRouter,
         members: Callable[[str], Collection[SlotOwner]],
         send: SendFrame,
-        on_refreshed: Callable[[str], None],
+        on_received: Callable[[str, bool], None],
     ) -> None:
         """Joins what the service needs.
 
@@ -79,7 +79,8 @@
             router: Gets the tables for routing.
             members: Returns the serving members of a service.
             send: Sends a control frame.
-            on_refreshed: Called when a newer table of a service is in use.
+            on_received: Called with the service of each received table, and
+                whether this node had asked for it.
         """
         self._reactor = reactor
         self._clock = clock
@@ -89,7 +90,7 @@
         self._router = router
         self._members = members
         self._send = send
-        self._on_refreshed = on_refreshed
+        self._on_received = on_received
         self._driver: SlotDriver | None = None
         self._acks: dict[tuple[str, int], list[Deferred[None]]] = {}
         self.service = ""
@@ -153,9 +154,15 @@
         if self._driver is not None:
             self._driver.close()
 
-    def _use(self, service: str, version: int, table: SlotTable) -> None:
+    def _use(
+        self,
+        service: str,
+        version: int,
+        table: SlotTable,
+        is_reply: bool = False,
+    ) -> None:
         self._router.set_table(service, version, table)
-        self._on_refreshed(service)
+        self._on_received(service, is_reply)
 
     def _push_table(
         self, member: SlotOwner, version: int, table: SlotTable
@@ -184,8 +191,15 @@
             return None
         return self._table_frame(self.service, driver.version, driver.table)
 
-    def table_received(self, push: wire.SlotTablePush) -> None:
-        """Takes a pushed or pulled table."""
+    def table_received(
+        self, push: wire.SlotTablePush, *, is_reply: bool
+    ) -> None:
+        """Takes a table.
+
+        Args:
+            push: The table.
+            is_reply: Whether this node had asked for it.
+        """
         decoded = decode_slot_table(push.table)
         if decoded.is_error():
             _LOG.warning(
@@ -194,7 +208,7 @@
             return
         if self._driver is not None and push.service_name == self.service:
             self._driver.receive_table(push.version, decoded.ok)
-        self._use(push.service_name, push.version, decoded.ok)
+        self._use(push.service_name, push.version, decoded.ok, is_reply)
 
     def _send_records(
         self, member: SlotOwner, records: KeyRecords[Any]
--- a/packages/state/radishtray_state/_key_routing.py
+++ b/packages/state/radishtray_state/_key_routing.py
@@ -151,7 +151,7 @@
         """
         first_here = self._remember(key)
         pristine = declared_first and first_here
-        owner = self._owner(service, key)
+        owner = self.owner(service, key)
         if owner is None:
             return KeyRefresh(pristine)
         return KeyForward(owner, pristine, refreshed=False)
@@ -169,7 +169,7 @@
         Returns:
             Where to forward it, or a refusal.
         """
-        owner = self._owner(service, key)
+        owner = self.owner(service, key)
         if owner is None:
             return self._refuse(service, key, pristine)
         return KeyForward(owner, pristine, refreshed=True)
@@ -231,7 +231,7 @@
         cached = self._tables.get(service)
         return None if cached is None else cached[1]
 
-    def _owner(self, service: str, key: RequestKey) -> SlotOwner | None:
+    def owner(self, service: str, key: RequestKey) -> SlotOwner | None:
         """Returns the live process that answers for the key."""
         table = self._table(service)
         if table is None:
