--- a/packages/transport/radishtray_transport/__init__.py
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -8,7 +8,6 @@
     encode_datagram,
 )
 from radishtray_transport._gossip_socket import GossipCounters, GossipSocket
-from radishtray_transport._http_channel import HttpLimits, HttpRequest
 from radishtray_transport._http_client import HttpClient
 from radishtray_transport._http_exchange import (
     AnswerCallback,
@@ -19,6 +18,7 @@
     PendingRequest,
     RequestFailure,
 )
+from radishtray_transport._http_request import HttpLimits, HttpRequest
 from radishtray_transport._http_server import HttpServer
 from radishtray_transport._node_connection import (
     ConnectionEvents,
--- a/packages/transport/radishtray_transport/_http_server.py
+++ b/packages/transport/radishtray_transport/_http_server.py
@@ -6,11 +6,8 @@
 from twisted.internet.protocol import Factory
 from twisted.internet.task import LoopingCall
 
-from radishtray_transport._http_channel import (
-    HttpChannel,
-    HttpLimits,
-    HttpRequest,
-)
+from radishtray_transport._http_channel import HttpChannel
+from radishtray_transport._http_request import HttpLimits, HttpRequest
 
 _SWEEP_INTERVAL_S = 1.0
 _BACKLOG = 1024
