Report answers that belong to another request, and changes of node links

Entry node: an answer that states the id of another request is counted (radishtray_answers_mismatched_total) and logged with the node and the attempt. Delivery is unchanged. Links: opening, closing and rejected connections are logged with incarnation and epoch; answers without an attempt are counted as unmatched_answer. Upstream: faults in responses are counted by kind (radishtray_upstream_response_faults_total).

--- a/packages/node/radishtray_node/_decision_log.py
+++ b/packages/node/radishtray_node/_decision_log.py
@@ -76,6 +76,32 @@
             version=version,
         )
 
+    def log_mismatched_answer(
+        self,
+        request_id: bytes,
+        stated_id: str,
+        route: str,
+        node_id: str,
+        attempt_id: int,
+    ) -> None:
+        """Logs that an answer states the id of another request.
+
+        Args:
+            request_id: Id of the request.
+            stated_id: Id in the answer.
+            route: Name of the request's route.
+            node_id: The node that sent the answer.
+            attempt_id: Attempt that the answer was matched to.
+        """
+        self._write(
+            "answer_mismatched",
+            request=request_id.decode("latin-1"),
+            stated=stated_id,
+            route=route,
+            node=node_id,
+            attempt=attempt_id,
+        )
+
     def log_caller_left(self, request_id: bytes, route: str) -> None:
         """Logs that a caller disconnected before it got its answer."""
         self._write(
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -210,6 +210,9 @@
             self._on_upstream_crash,
             forwarding.response_rules,
             _USABLE_SLOT_SHARE,
+            lambda fault: self.metrics.response_faults.labels(
+                fault.value
+            ).inc(),
         )
         server = UpstreamServer(
             self.clock,
--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -17,7 +17,7 @@
     CrashTally,
     RefusalReason,
 )
-from radishtray_transport import HttpClient, ResponseRules
+from radishtray_transport import HttpClient, ResponseFault, ResponseRules
 
 _LOG = logging.getLogger(__name__)
 HEARTBEAT_PROBE_S = 3.0
@@ -143,6 +143,7 @@
         "_last_heartbeat_s",
         "_on_change",
         "_on_crash",
+        "_on_response_fault",
         "_probe_waiters",
         "_reactor",
         "_response_rules",
@@ -163,6 +164,7 @@
         on_crash: Callable[[], None],
         response_rules: ResponseRules | None = None,
         used_share: float = 1.0,
+        on_response_fault: Callable[[ResponseFault], None] = lambda _: None,
     ) -> None:
         """Creates the state before the first announcement.
 
@@ -177,7 +179,10 @@
             on_crash: Called when the upstream no longer accepts connections.
             response_rules: How responses of the upstream are read.
             used_share: Share of the announced slots that this node uses.
+            on_response_fault: Called with each fault in what the upstream
+                sends.
         """
+        self._on_response_fault = on_response_fault
         self._response_rules = response_rules
         self._reactor = reactor
         self._clock = clock
@@ -237,6 +242,7 @@
             announcement.slots + _SPARE_CONNECTIONS,
             _MAX_RESPONSE_BYTES,
             self._response_rules,
+            self._on_response_fault,
         )
         if announcement.cold_start_s > 0:
             self.admission.begin_cold_start(announcement.cold_start_s)
--- a/packages/node/radishtray_node/_metrics.py
+++ b/packages/node/radishtray_node/_metrics.py
@@ -12,6 +12,7 @@
 from prometheus_client.registry import Collector
 
 from radishtray_state import RefusalReason, RetryDenial
+from radishtray_transport import ResponseFault
 
 _MIN_DURATION_US = 1
 _MAX_DURATION_US = 120_000_000
@@ -121,6 +122,9 @@
         rejected_input: Rejected input, by listener and reason.
         rejected_connections: Node connections that this node ended, by
             reason.
+        response_faults: Faults in what the upstream sent, by kind.
+        mismatched_answers: Answers of nodes that state the id of another
+            request.
     """
 
     __slots__ = (
@@ -130,11 +134,13 @@
         "_registry",
         "first_attempts",
         "key_redirects",
+        "mismatched_answers",
         "refusals",
         "refusals_delivered",
         "rejected_connections",
         "rejected_input",
         "requests",
+        "response_faults",
         "retries",
         "retry_denials",
         "upstream_calls",
@@ -203,6 +209,19 @@
             ["reason"],
             registry=registry,
         )
+        self.response_faults = Counter(
+            "radishtray_upstream_response_faults",
+            "Faults in what the upstream sent, by kind.",
+            ["fault"],
+            registry=registry,
+        )
+        self.mismatched_answers = Counter(
+            "radishtray_answers_mismatched",
+            "Answers of nodes that state the id of another request.",
+            registry=registry,
+        )
+        for fault in ResponseFault:
+            self.response_faults.labels(fault.value)
         self._refusal_counters = {
             reason: self.refusals.labels(reason.value, reason.family.value)
             for reason in RefusalReason
--- a/packages/node/radishtray_node/_node_server.py
+++ b/packages/node/radishtray_node/_node_server.py
@@ -106,6 +106,15 @@
             peer.node_id, peer.incarnation, peer.connection_epoch
         )
         if opened.is_error():
+            _LOG.warning(
+                "node connection rejected",
+                extra={
+                    "node": peer.node_id,
+                    "incarnation": peer.incarnation,
+                    "epoch": peer.connection_epoch,
+                    "reason": opened.error.value,
+                },
+            )
             self.connection_rejected(opened.error.value)
             connection.abort()
             return
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -266,6 +266,14 @@
 
     def close(self) -> None:
         """Closes the connection; queued attempts fail as not run."""
+        _LOG.info(
+            "node link closed",
+            extra={
+                "address": f"{self.address[0]}:{self.address[1]}",
+                "outstanding": self._outstanding.outstanding,
+                "queued": len(self._queue),
+            },
+        )
         self._is_closed = True
         self._fail_queued_attempts()
         if self._connection is not None:
@@ -321,6 +329,16 @@
             return
         for settled in reopened.lost_attempts:
             self._settle_failed(settled.context, SendFailure.UNKNOWN)
+        _LOG.info(
+            "node link opened",
+            extra={
+                "node": connection.peer.node_id,
+                "incarnation": connection.peer.incarnation,
+                "epoch": connection.epoch,
+                "lost": len(reopened.lost_attempts),
+                "queried": len(reopened.query_ids),
+            },
+        )
         if reopened.query_ids:
             query = wire.AttemptQuery(attempt_ids=reopened.query_ids)
             connection.send(wire.Frame(attempt_query=query))
@@ -344,6 +362,8 @@
             )
             if attempt is not None:
                 self._settle_answered(attempt, answer)
+            else:
+                self._on_rejected("unmatched_answer")
         elif frame.attempt_states is not None:
             self._settle_states(connection, frame.attempt_states)
         else:
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -203,6 +203,11 @@
         self._split_round_robins: dict[str, WeightedRoundRobin] = {}
         self._route_counters: dict[str, Callable[[], None]] = {}
 
+    @property
+    def request_id_header(self) -> str:
+        """Name of the header that carries a request's id."""
+        return self._header_names.request_id
+
     @property
     def version(self) -> int:
         """Version of the configuration in force; 0 before the first."""
--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -12,6 +12,7 @@
 from radishtray_node._timers import Timer
 from radishtray_protocol import Route, wire
 from radishtray_state import RefusalReason
+from radishtray_transport import find_header
 
 if TYPE_CHECKING:
     from radishtray_node._route_entry import RouteEntry
@@ -259,6 +260,7 @@
         self._attempt = None
         router = self._entry.router
         result = CallResult.from_wire(answer)
+        self._check_stated_id(result, answer.attempt_id)
         self._entry.chains.record_thresholds(
             self.route.name, answer.threshold, answer.chain_threshold or 0
         )
@@ -288,6 +290,18 @@
         else:
             self._handle_unknown_outcome(reason)
 
+    def _check_stated_id(self, result: CallResult, attempt_id: int) -> None:
+        """Counts and logs an answer that states the id of another request."""
+        entry = self._entry
+        request_id = self._request.request_id
+        stated_id = find_header(result.headers, entry.request_id_header)
+        if stated_id is None or stated_id == request_id.decode("latin-1"):
+            return
+        entry.router.metrics.mismatched_answers.inc()
+        entry.log.log_mismatched_answer(
+            request_id, stated_id, self.route.name, self._node_id, attempt_id
+        )
+
     def _on_failure(self, failure: SendFailure) -> None:
         self._attempt = None
         self._entry.router.selector.record_loss(self._node_id)
--- a/packages/testing/radishtray_testing/_reference_texts.py
+++ b/packages/testing/radishtray_testing/_reference_texts.py
@@ -86,7 +86,9 @@
     "radishtray_refusals_total": ("reason, outcome", "refusals", "Refusals that this node decided, for its upstream or for its callers."),
     "radishtray_refusals_delivered_total": ("reason, outcome", "refusals", "Refusals that callers of this node received."),
     "radishtray_rejected_input_total": ("listener, reason", "requests or connections", "Input that a TCP listener for HTTP rejected."),
-    "radishtray_node_connections_rejected_total": ("reason", "connections", "Connections between nodes that this node ended, and duplicate attempts on them."),
+    "radishtray_node_connections_rejected_total": ("reason", "connections", "Connections between nodes that this node ended, and duplicate attempts and unmatched answers on them."),
+    "radishtray_upstream_response_faults_total": ("fault", "responses", "Faults in what the upstream sent; forwarding by route only. `other_request` and `extra_bytes`: the upstream answers twice."),
+    "radishtray_answers_mismatched_total": ("-", "answers", "Answers of nodes that state the id of another request; forwarding by route only. Not zero: report a fault of radishtray."),
 }  # fmt: skip
 
 INPUT_REASON_TEXTS: Final = {
@@ -102,6 +104,7 @@
     "silent_connection": "No reply to a ping for 0.8 s while attempts wait; the node reconnects.",
     "fenced": "The sender opened a newer connection, which replaces this one. The usual follower of `silent_connection` at the other node.",
     "duplicate_attempt": "An attempt arrived twice or out of turn and was ignored.",
+    "unmatched_answer": "An answer arrived whose attempt had ended or belongs to another connection; it was ignored.",
     "handshake_timeout": "The peer did not authenticate within 5 s; it may be paused or overloaded.",
     "handshake_invalid": "The first frame was no valid greeting.",
     "handshake_unauthenticated": "The peer has no key in common with this node; compare `--cluster-keys`.",
--- a/packages/transport/radishtray_transport/__init__.py
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -16,7 +16,9 @@
     PendingRequest,
     RequestFailure,
     ResponseCallback,
+    ResponseFault,
     ResponseRules,
+    find_header,
 )
 from radishtray_transport._http_request import HttpLimits, HttpRequest
 from radishtray_transport._http_server import HttpServer
@@ -70,12 +72,14 @@
     "Rejected",
     "RequestFailure",
     "ResponseCallback",
+    "ResponseFault",
     "ResponseRules",
     "Signer",
     "Unreachable",
     "decode_datagram",
     "decode_payload",
     "encode_datagram",
+    "find_header",
     "open_node_connection",
     "parse_base_url",
 ]
--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -5,6 +5,8 @@
 `httptools` and reported to callbacks.
 """
 
+from collections.abc import Callable
+
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import ClientFactory
 
@@ -15,6 +17,7 @@
     PendingRequest,
     RequestFailure,
     ResponseCallback,
+    ResponseFault,
     ResponseRules,
 )
 
@@ -43,6 +46,7 @@
     Attributes:
         max_body_bytes: Maximum size of a response body.
         rules: How responses are read.
+        report_fault: Called with each fault in what the server sends.
     """
 
     __slots__ = (
@@ -57,6 +61,7 @@
         "_queued_requests",
         "_reactor",
         "max_body_bytes",
+        "report_fault",
         "rules",
     )
 
@@ -68,6 +73,7 @@
         max_connections: int,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
         rules: ResponseRules | None = None,
+        on_fault: Callable[[ResponseFault], None] = lambda _: None,
     ) -> None:
         """Configures a client; connections are opened on demand.
 
@@ -78,7 +84,9 @@
             max_connections: Maximum number of open connections.
             max_body_bytes: Maximum size of a response body.
             rules: How responses are read.
+            on_fault: Called with each fault in what the server sends.
         """
+        self.report_fault = on_fault
         self.max_body_bytes = max_body_bytes
         self.rules = rules or ResponseRules()
         self._reactor = reactor
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -13,6 +13,7 @@
     HttpResponse,
     PendingRequest,
     RequestFailure,
+    ResponseFault,
     ResponseRules,
 )
 
@@ -61,6 +62,10 @@
         """Removes a closed connection from the pool."""
         ...
 
+    def report_fault(self, fault: ResponseFault) -> None:
+        """Reports a fault in what the server sent."""
+        ...
+
 
 class HttpConnection(Protocol):
     """One keep-alive connection with at most one request in flight.
@@ -127,6 +132,8 @@
         parser = self._parser
         if self._pending is None or parser is None:
             # No request is in flight, so these bytes can't be a response.
+            if parser is not None:
+                self._pool.report_fault(ResponseFault.UNSOLICITED_BYTES)
             self.abort()
             return
         was_parsing_head = self._is_parsing_head
@@ -233,6 +240,7 @@
         if pending is not None and self._is_for_other_request(pending):
             # Drops a response to an earlier request and waits for the expected
             # one, after which the connection is closed.
+            self._pool.report_fault(ResponseFault.OTHER_REQUEST)
             self._dropped_other_response = True
             self._is_invalid = not self._keep_alive
             self._reset_response()
@@ -256,6 +264,11 @@
         pending = self._pending
         self._pending = None
         response = self._build_response()
+        if self._has_extra_bytes:
+            self._pool.report_fault(ResponseFault.EXTRA_BYTES)
+        id_header = self._rules.request_id_header
+        if id_header and response.header(id_header) is None:
+            self._pool.report_fault(ResponseFault.NO_REQUEST_ID)
         if self._has_extra_bytes or self._dropped_other_response:
             self.abort()
         elif self._keep_alive:
@@ -271,6 +284,7 @@
         return HttpResponse(self._status, self._headers, body)
 
     def _report_invalid(self) -> None:
+        self._pool.report_fault(ResponseFault.MALFORMED)
         pending = self._pending
         self.abort()
         if pending is not None:
--- a/packages/transport/radishtray_transport/_http_exchange.py
+++ b/packages/transport/radishtray_transport/_http_exchange.py
@@ -8,6 +8,15 @@
 """Header names and values, alternating."""
 
 
+def find_header(headers: HeaderList, name: str) -> str | None:
+    """Returns the first value of a header; names are case-insensitive."""
+    lowered = name.lower()
+    for index in range(0, len(headers), 2):
+        if headers[index].lower() == lowered:
+            return headers[index + 1]
+    return None
+
+
 class AbortableConnection(Protocol):
     """The connection that carries a request."""
 
@@ -32,6 +41,25 @@
     """The response was malformed or exceeded a size limit."""
 
 
+class ResponseFault(Enum):
+    """What a server sent that is not the response to the request in flight."""
+
+    OTHER_REQUEST = "other_request"
+    """A complete response that states the id of another request."""
+
+    NO_REQUEST_ID = "no_request_id"
+    """A complete response without the id that the server must repeat."""
+
+    EXTRA_BYTES = "extra_bytes"
+    """Bytes after a complete response."""
+
+    UNSOLICITED_BYTES = "unsolicited_bytes"
+    """Bytes while no request was in flight."""
+
+    MALFORMED = "malformed"
+    """A response that can't be parsed or exceeds a limit."""
+
+
 class HttpResponse:
     """A complete response.
 
@@ -52,12 +80,7 @@
 
     def header(self, name: str) -> str | None:
         """Returns the first value of a header; names are case-insensitive."""
-        lowered = name.lower()
-        headers = self.headers
-        for index in range(0, len(headers), 2):
-            if headers[index].lower() == lowered:
-                return headers[index + 1]
-        return None
+        return find_header(self.headers, name)
 
 
 ResponseCallback = Callable[[HttpResponse], None]
--- a/packages/transport/radishtray_transport/tests/test_answer_rules.py
+++ b/packages/transport/radishtray_transport/tests/test_answer_rules.py
@@ -10,7 +10,12 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from radishtray_testing.memory_network import MemoryNetwork
-from radishtray_transport import HttpClient, RequestFailure, ResponseRules
+from radishtray_transport import (
+    HttpClient,
+    RequestFailure,
+    ResponseFault,
+    ResponseRules,
+)
 
 RULES = ResponseRules(
     allows_close_delimited=True, request_id_header="X-Id", idle_limit_s=5.0
@@ -48,8 +53,14 @@
         self.factory.opened_connections = 0
         self.factory.on_request = lambda transport: None
         port = self.network.listenTCP(0, self.factory).getHost().port
+        self.faults: list[ResponseFault] = []
         self.client = HttpClient(
-            self.network, "127.0.0.1", port, 4, rules=RULES
+            self.network,
+            "127.0.0.1",
+            port,
+            4,
+            rules=RULES,
+            on_fault=self.faults.append,
         )
         self.results: list[Any] = []
 
@@ -140,6 +151,44 @@
     assert pair.factory.opened_connections == 2
 
 
+# Name: bytes sent for request `2`, reported faults.
+FAULT_CASES = {
+    "none": (build_response("2", b"own"), []),
+    "other_request": (
+        build_response("1", b"late") + build_response("2", b"own"),
+        [ResponseFault.OTHER_REQUEST],
+    ),
+    "no_request_id": (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        [ResponseFault.NO_REQUEST_ID],
+    ),
+    "extra_bytes": (
+        build_response("2", b"own") + b"more",
+        [ResponseFault.EXTRA_BYTES],
+    ),
+    "malformed": (b"HTTP/1.1 2x0\r\n", [ResponseFault.MALFORMED]),
+}
+
+
+@pytest.mark.parametrize("name", FAULT_CASES)
+def test_faults_in_responses_are_reported(name: str) -> None:
+    data, expected = FAULT_CASES[name]
+    pair = ClientServerPair()
+    pair.send("2", lambda transport: transport.write(data))
+    assert pair.faults == expected
+
+
+def test_bytes_on_an_idle_connection_are_reported() -> None:
+    pair = ClientServerPair()
+
+    def respond_twice(transport: Any) -> None:
+        transport.write(build_response("2", b"own"))
+        pair.network.callLater(0.1, transport.write, b"late")
+
+    pair.send("2", respond_twice)
+    assert pair.faults == [ResponseFault.UNSOLICITED_BYTES]
+
+
 # Name: seconds idle, extra headers of the first response, number of
 # connections opened.
 IDLE_CASES = {
