Reproduce an answer delivered to another request after a link reopens

Three requests run at a node's upstream when the entry node closes the link for gossip that the node is gone; the node is alive. Three more requests open a new link, whose epochs and attempt ids start from the beginning. Each of their callers gets 200 with the body of one of the first three; the first three get 504 at the deadline.

The other hypotheses are not needed to bring this about: upstream and caller connections carry one answer to each request.

--- a/packages/node/radishtray_node/tests/test_gateway.py
+++ b/packages/node/radishtray_node/tests/test_gateway.py
@@ -223,6 +223,27 @@
     assert len(leaving.runs) == before
 
 
+def test_a_reopened_link_delivers_no_answer_to_an_earlier_request() -> None:
+    fleet = build_fleet(1, slots=16)
+    upstream = fleet.upstreams["n0"]
+    upstream.on_run = lambda http: None
+    results = {}
+    for link in ("first", "second"):
+        for number in range(3):
+            path = f"/once/{link}-{number}"
+            results[path] = fleet.send("e", path, f"{link}-{number}")
+        fleet.run(0.4)
+        if link == "first":
+            fleet.gateways["e"].node_gone("n0")
+    for http in upstream.requests:
+        upstream.answer(http, http.uri)
+    fleet.run(3)
+    for path, result in results.items():
+        if result.status == 200:
+            assert result.answer is not None
+            assert result.answer.body == path.encode()
+
+
 def test_a_replaced_upstream_process_does_not_run_the_request() -> None:
     """The port of the reported process now belongs to another process."""
     fleet = build_fleet(1)
