Number attempts and connections per process instead of per link

What callers saw: 200 or 500 with the whole answer to another request of the same entry node (MIXED).

Cause: a receiver keeps its records of attempts by the sender's process (node id, incarnation), but the sender numbered attempts and connection epochs by link, with a salt made of the receiver's address. When gossip reports a node as dead, left or replaced, the link is closed and the next request makes a new one, whose numbers begin again. If the receiver is a process that has seen the earlier link, its record says that the new ids are duplicates, so the new calls are not run, while the results of the earlier attempts go out on the newest connection of the sender and are matched to the new calls with the same ids. The class of fault: an identifier that is unique in one object, used as the key of state that outlives the object.

Fix: an AttemptSequence for each process numbers the attempts and epochs of all its links; a random salt keeps processes apart. A receiver still sees increasing ids, since it gets a part of an increasing sequence.

The chain model missed the fault because it drew a new salt for each link, which the product did not do; it now uses the product's numbering, and the mutation on salts is per sender. Two tests compute ids from the sender's sequence; their checks are unchanged.

Not fixed here: the answers to attempts of the closed link are still lost (504 at the deadline).

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -31,6 +31,7 @@
 from radishtray_node._upstream_server import UpstreamServer
 from radishtray_protocol import Document, wire
 from radishtray_state import (
+    AttemptSequence,
     Clock,
     CrashSuspects,
     KeyOwner,
@@ -66,6 +67,7 @@
     """
 
     __slots__ = (
+        "_attempt_sequence",
         "_control_frames",
         "_document",
         "_entry",
@@ -107,6 +109,7 @@
         self.identity = NodeIdentity(
             settings.node_id, new_incarnation(self.clock)
         )
+        self._attempt_sequence = AttemptSequence.with_random_salt()
         self.metrics = Metrics()
         self._reactor = reactor
         self._document: Document | None = None
@@ -339,6 +342,7 @@
             self._timers,
             address,
             self.identity,
+            self._attempt_sequence,
             self.settings.cluster_keys,
             lambda frame: self._control_frames.handle_reply(node_id, frame),
             self._peer_verified,
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -36,6 +36,7 @@
 from radishtray_protocol import Document, RouteTable, wire
 from radishtray_state import (
     ArrivalBudget,
+    AttemptSequence,
     Clock,
     CrashTally,
     KeyOwner,
@@ -94,6 +95,7 @@
 
     __slots__ = (
         "_arrival_budget",
+        "_attempt_sequence",
         "_decode_table",
         "_fleet",
         "_fleet_size_until_s",
@@ -146,6 +148,7 @@
         self.identity = NodeIdentity(
             settings.node_id, new_incarnation(self.clock)
         )
+        self._attempt_sequence = AttemptSequence.with_random_salt()
         self.metrics = Metrics()
         self.crash_tally = CrashTally(self.clock)
         self._reactor = reactor
@@ -396,6 +399,7 @@
             self._timers,
             address,
             self.identity,
+            self._attempt_sequence,
             self.settings.cluster_keys,
             lambda frame: self._on_control_reply(node_id, frame),
             lambda _node_id, _incarnation: None,
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -4,7 +4,6 @@
 connection are settled by asking the receiver about them over the next one.
 """
 
-import hashlib
 import logging
 from collections.abc import Callable
 from enum import Enum
@@ -14,8 +13,8 @@
 from radishtray_node._timers import TimerWheel
 from radishtray_protocol import wire
 from radishtray_state import (
-    SALT_BITS,
     AttemptPhase,
+    AttemptSequence,
     AttemptState,
     AttemptVerdict,
     OutstandingAttempts,
@@ -86,16 +85,6 @@
         self.is_settled = False
 
 
-def attempt_id_salt(address: tuple[str, int]) -> int:
-    """Returns the salt of the attempt ids for a receiver, from its address.
-
-    Different receivers thus get ids from different ranges, and an answer that
-    arrives on the connection of another receiver matches no attempt.
-    """
-    digest = hashlib.blake2b(repr(address).encode(), digest_size=4).digest()
-    return int.from_bytes(digest, "big") % (1 << SALT_BITS)
-
-
 class PeerLink:
     """Keeps one connection to a node and settles attempts across reconnects.
 
@@ -133,6 +122,7 @@
         timers: TimerWheel,
         address: tuple[str, int],
         identity: NodeIdentity,
+        sequence: AttemptSequence,
         signer: Signer,
         on_control: Callable[[wire.Frame], None],
         on_verified: Callable[[str, int], None],
@@ -145,6 +135,7 @@
             timers: Timers of connection timeouts and reconnects.
             address: IP address and port of the peer's node listener.
             identity: Node id and incarnation of this process.
+            sequence: Numbers of this process's attempts and connections.
             signer: Signs the handshake with the cluster keys.
             on_control: Called with each frame that belongs to no attempt.
             on_verified: Called with the peer's node id and incarnation after
@@ -161,7 +152,7 @@
         self._on_rejected = on_rejected
         self._on_verified = on_verified
         self._outstanding: OutstandingAttempts[SentAttempt, wire.Answer] = (
-            OutstandingAttempts(attempt_id_salt(address))
+            OutstandingAttempts(sequence)
         )
         self._connection: NodeConnection | None = None
         self._queue: list[SentAttempt | wire.Frame] = []
--- a/packages/node/radishtray_node/tests/test_call_chains.py
+++ b/packages/node/radishtray_node/tests/test_call_chains.py
@@ -173,7 +173,7 @@
     bench.run(2)
     bench.send("/s/buy", key)
     opening, _ = bench.cluster.connection_ends("b")[-1]
-    cancel = wire.Cancel(attempt_id=bench.cluster.attempt_id("b", 2))
+    cancel = wire.Cancel(attempt_id=bench.a.attempt_id(2))
     opening.protocol.send(wire.Frame(cancel=cancel))
     bench.run()
     assert bench.caller.result_text(1) == "cancelled_running"
--- a/packages/node/radishtray_node/tests/test_node_faults.py
+++ b/packages/node/radishtray_node/tests/test_node_faults.py
@@ -238,7 +238,7 @@
     connection: NodeConnection = bench.link_ends()[1].protocol
     for number in attempt_numbers:
         answer = wire.Answer(
-            attempt_id=bench.cluster.attempt_id("b", number),
+            attempt_id=bench.a.attempt_id(number),
             status=200,
             headers=[],
             body=f"attempt {number}".encode(),
--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -83,12 +83,11 @@
 from radishtray_state._membership import Membership
 from radishtray_state._membership_parameters import MembershipParameters
 from radishtray_state._outstanding_attempts import (
-    SALT_BITS,
+    AttemptSequence,
     AttemptVerdict,
     OpenResult,
     OutstandingAttempts,
     SettledAttempt,
-    make_attempt_id,
 )
 from radishtray_state._rank_queue import Ticket
 from radishtray_state._refusal import OutcomeFamily, RefusalReason
@@ -131,7 +130,6 @@
     "HORIZON_MS",
     "REPLACEMENT_MARGIN_MS",
     "RETRY_RULES",
-    "SALT_BITS",
     "SELECTION_POLICIES",
     "SLOT_COUNT",
     "AdmissionController",
@@ -140,6 +138,7 @@
     "AttemptBounds",
     "AttemptGrant",
     "AttemptPhase",
+    "AttemptSequence",
     "AttemptState",
     "AttemptTable",
     "AttemptVerdict",
@@ -211,7 +210,6 @@
     "extend_horizon",
     "fingerprint",
     "hand_over",
-    "make_attempt_id",
     "prune",
     "rebalance",
     "replace_dead_owner",
--- a/packages/state/radishtray_state/_outstanding_attempts.py
+++ b/packages/state/radishtray_state/_outstanding_attempts.py
@@ -1,5 +1,6 @@
 """The sender's record of attempts that one receiver has not answered yet."""
 
+import secrets
 from collections.abc import Iterable
 from enum import Enum
 from typing import Generic, TypeVar
@@ -13,7 +14,7 @@
 ContextT = TypeVar("ContextT")
 
 # Together, the salt and the counter fill a positive signed 64-bit integer.
-SALT_BITS = 23
+_SALT_BITS = 23
 _COUNTER_BITS = 40
 
 
@@ -106,14 +107,57 @@
         return self._lost_attempts
 
 
-def make_attempt_id(salt: int, number: int) -> int:
-    """Returns an attempt id: the salt in the upper bits, then the number.
+class AttemptSequence:
+    """Numbers the attempts and the connections that one process opens.
 
-    Args:
-        salt: Salt of the receiver.
-        number: Number of the attempt, from 1.
+    All links of a process share one sequence. Receivers keep records by sender
+    process, so a link that is closed and opened again must not use a number
+    twice.
     """
-    return (salt << _COUNTER_BITS) + number
+
+    __slots__ = ("_first_id", "_last_epoch", "_last_id")
+
+    def __init__(self, salt: int) -> None:
+        """Creates a sequence without issued numbers.
+
+        Args:
+            salt: Number from 0 to 2**23 - 1 in the upper bits of every id.
+                With a different salt for each process, an answer that is
+                written to the connection of another sender does not match an
+                attempt there by chance.
+
+        Raises:
+            ValueError: If the salt is out of range.
+        """
+        if not 0 <= salt < 2**_SALT_BITS:
+            raise ValueError(f"salt {salt} does not fit into {_SALT_BITS} bits")
+        self._first_id = (salt << _COUNTER_BITS) + 1
+        self._last_id = self._first_id - 1
+        self._last_epoch = 0
+
+    @classmethod
+    def with_random_salt(cls) -> "AttemptSequence":
+        """Creates a sequence for a new process."""
+        return cls(secrets.randbits(_SALT_BITS))
+
+    @property
+    def last_id(self) -> int:
+        """The attempt id that was issued last."""
+        return self._last_id
+
+    def next_id(self) -> int:
+        """Issues the id of an attempt, higher than all before it."""
+        self._last_id += 1
+        return self._last_id
+
+    def next_epoch(self) -> int:
+        """Issues the epoch of a connection, higher than all before it."""
+        self._last_epoch += 1
+        return self._last_epoch
+
+    def was_issued(self, attempt_id: int) -> bool:
+        """Returns whether an attempt id was issued."""
+        return self._first_id <= attempt_id <= self._last_id
 
 
 class OutstandingAttempts(Generic[ContextT, AnswerT]):
@@ -130,36 +174,24 @@
         "_current",
         "_earlier",
         "_epoch",
-        "_first_id",
         "_is_open",
-        "_last_id",
         "_late_answers",
         "_mismatched_answers",
-        "_next_epoch",
         "_receiver_incarnation",
+        "_sequence",
     )
 
-    def __init__(self, salt: int = 0) -> None:
+    def __init__(self, sequence: AttemptSequence) -> None:
         """Creates an empty record without a connection.
 
         Args:
-            salt: Number from 0 to 2**23 - 1 in the upper bits of every id.
-                With a different salt for each receiver, an answer that is
-                written to the wrong connection does not match an attempt there
-                by chance.
-
-        Raises:
-            ValueError: If the salt is out of range.
+            sequence: Numbers of the sending process.
         """
-        if not 0 <= salt < 2**SALT_BITS:
-            raise ValueError(f"salt {salt} does not fit into {SALT_BITS} bits")
+        self._sequence = sequence
         self._current: dict[int, ContextT] = {}
         self._earlier: dict[int, ContextT] = {}
         self._epoch = 0
-        self._next_epoch = 0
         self._is_open = False
-        self._first_id = make_attempt_id(salt, 1)
-        self._last_id = self._first_id - 1
         self._receiver_incarnation = 0
         self._late_answers = 0
         self._mismatched_answers = 0
@@ -181,8 +213,7 @@
 
     def next_epoch(self) -> int:
         """Returns the epoch for a new connection to this receiver."""
-        self._next_epoch += 1
-        return self._next_epoch
+        return self._sequence.next_epoch()
 
     def opened(
         self, epoch: int, receiver_incarnation: int
@@ -227,9 +258,9 @@
         """
         if not self._is_open:
             return None
-        self._last_id += 1
-        self._current[self._last_id] = context
-        return self._last_id
+        attempt_id = self._sequence.next_id()
+        self._current[attempt_id] = context
+        return attempt_id
 
     def closed(self, epoch: int) -> None:
         """Records the end of a connection, which settles no attempt."""
@@ -252,7 +283,7 @@
                 context = self._earlier.pop(attempt_id, None)
             if context is not None:
                 return context
-        if self._first_id <= attempt_id <= self._last_id:
+        if self._sequence.was_issued(attempt_id):
             self._late_answers += 1
         else:
             self._mismatched_answers += 1
--- a/packages/state/radishtray_state/tests/test_attempts.py
+++ b/packages/state/radishtray_state/tests/test_attempts.py
@@ -9,6 +9,7 @@
 from radishtray_state import (
     AttemptBounds,
     AttemptPhase,
+    AttemptSequence,
     AttemptState,
     AttemptTable,
     AttemptVerdict,
@@ -154,13 +155,33 @@
 
 
 def _handed_over() -> OutstandingAttempts[str, str]:
-    attempts: OutstandingAttempts[str, str] = OutstandingAttempts()
+    attempts: OutstandingAttempts[str, str] = OutstandingAttempts(
+        AttemptSequence(0)
+    )
     assert attempts.hand_over("x") is None
     assert attempts.opened(attempts.next_epoch(), 1) is not None
     assert [attempts.hand_over(c) for c in "abc"] == [1, 2, 3]
     return attempts
 
 
+def test_links_of_one_process_use_no_id_or_epoch_twice() -> None:
+    sequence = AttemptSequence(7)
+    ids, epochs = [], []
+    for _ in range(2):
+        link: OutstandingAttempts[str, str] = OutstandingAttempts(sequence)
+        epochs.append(link.next_epoch())
+        assert link.opened(epochs[-1], 1) is not None
+        ids += [link.hand_over(context) for context in "ab"]
+    assert ids == sorted(set(ids))
+    assert epochs == [1, 2]
+
+
+@pytest.mark.parametrize("salt", [-1, 2**23])
+def test_a_salt_outside_its_bits_is_rejected(salt: int) -> None:
+    with pytest.raises(ValueError, match="does not fit"):
+        AttemptSequence(salt)
+
+
 def test_answers_settle_only_their_own_attempt_once() -> None:
     attempts = _handed_over()
     assert attempts.answered(1, 2) == "b"
--- a/packages/testing/radishtray_testing/chain_model.py
+++ b/packages/testing/radishtray_testing/chain_model.py
@@ -22,6 +22,7 @@
 from radishtray_state import (
     AttemptBounds,
     AttemptGrant,
+    AttemptSequence,
     AttemptState,
     AttemptTable,
     AttemptVerdict,
@@ -363,7 +364,7 @@
         self.model = process.model
         self.node_id = node_id
         self.outstanding: OutstandingAttempts[_Attempt, _Answer] = (
-            OutstandingAttempts(self.model.next_salt())
+            OutstandingAttempts(process.attempt_sequence)
         )
         self._open_link: _Link | None = None
         self._pending_link: _Link | None = None
@@ -735,6 +736,7 @@
         "_clients",
         "_links",
         "_runs",
+        "attempt_sequence",
         "attempt_table",
         "frozen_until_s",
         "incarnation",
@@ -749,6 +751,7 @@
         self.incarnation = incarnation
         self.is_killed = False
         self.frozen_until_s = 0.0
+        self.attempt_sequence = AttemptSequence(model.next_salt())
         # The bounds are small, so that runs reach them and drop answers.
         self.attempt_table: AttemptTable[_Answer] = AttemptTable(
             model.scheduler.clock,
--- a/packages/testing/radishtray_testing/chain_mutations.py
+++ b/packages/testing/radishtray_testing/chain_mutations.py
@@ -17,6 +17,7 @@
 from unittest import mock
 
 from radishtray_state import (
+    AttemptSequence,
     AttemptVerdict,
     CrashSuspects,
     OutstandingAttempts,
@@ -70,7 +71,7 @@
 _original_settle = RetryLedger.settle
 _original_decide = RetryPolicy.decide
 _original_opened = OutstandingAttempts.opened
-_original_init = OutstandingAttempts.__init__
+_original_init = AttemptSequence.__init__
 
 
 def _begin_without_cost(self: Any, is_retry: bool) -> Any:
@@ -134,8 +135,9 @@
     return attempts.get(attempt_id, next(iter(attempts.values()), None))
 
 
-def _init_without_salt(self: Any, salt: int = 0) -> None:
-    _original_init(self)
+def _init_without_salt(self: Any, salt: int) -> None:
+    del salt
+    _original_init(self, 0)
 
 
 def _decide_as_idempotent(self: Any, outcome: Any, **request: Any) -> Any:
@@ -211,8 +213,8 @@
     _patch_of(OutstandingAttempts, "answered", _answered_without_id_match),
 )
 _add_mutation(
-    "all receivers get the same ids",
-    _patch_of(OutstandingAttempts, "__init__", _init_without_salt),
+    "all senders use the same ids",
+    _patch_of(AttemptSequence, "__init__", _init_without_salt),
 )
 _add_mutation(
     "at-most-once kinds are retried after a loss",
--- a/packages/testing/radishtray_testing/node_builders.py
+++ b/packages/testing/radishtray_testing/node_builders.py
@@ -12,7 +12,7 @@
 from radishtray_node._local_upstream import Announcement, LocalUpstream
 from radishtray_node._metrics import Metrics
 from radishtray_node._node_server import NodeServer
-from radishtray_node._peer_link import PeerLink, attempt_id_salt
+from radishtray_node._peer_link import PeerLink
 from radishtray_node._running_request import RunningRequests
 from radishtray_node._timers import TimerWheel
 from radishtray_node._unknown_outcomes import UnknownOutcomes
@@ -20,6 +20,7 @@
 from radishtray_node._upstream_server import UpstreamServer
 from radishtray_protocol import ClusterKeys, Document, parse_document
 from radishtray_state import (
+    AttemptSequence,
     Candidate,
     CrashSuspects,
     KeyOwner,
@@ -28,7 +29,6 @@
     SlotInterval,
     SlotTable,
     UpstreamSelector,
-    make_attempt_id,
 )
 from radishtray_testing.memory_network import MemoryNetwork, MemoryTransport
 from radishtray_transport import (
@@ -158,6 +158,7 @@
         clock: Simulated time.
         node_id: The node's id.
         identity: Node id and incarnation for the handshake with other nodes.
+        attempt_sequence: Numbers of the node's attempts and connections.
         cluster_keys: Keys that authenticate connections between nodes.
         metrics: Metrics of the node.
         timers: Timers of requests.
@@ -200,6 +201,8 @@
         self.clock = NetworkClock(network)
         self.node_id = node_id
         self.identity = NodeIdentity(node_id, incarnation)
+        self.attempt_sequence = AttemptSequence(len(cluster.nodes))
+        self._first_attempt_id = self.attempt_sequence.last_id + 1
         self.cluster_keys = ClusterKeys.parse(keys).ok
         self.metrics = Metrics()
         self.timers = TimerWheel(network)
@@ -311,6 +314,7 @@
             self.timers,
             (LOOPBACK, port),
             self.identity,
+            self.attempt_sequence,
             self.cluster_keys,
             self.control_frames.append,
             lambda _node_id, _incarnation: None,
@@ -321,6 +325,10 @@
         self.peer_links[node_id] = link
         return link
 
+    def attempt_id(self, number: int) -> int:
+        """Returns the id of this node's n-th attempt at other nodes."""
+        return self._first_attempt_id + number - 1
+
     def start_upstream(self, service: str, slots: int) -> FakeUpstream:
         """Starts an upstream and announces it to this node."""
         network = self._cluster.network
@@ -474,11 +482,6 @@
         """
         return self.network.connections.get(self.node_ports[node_id], [])
 
-    def attempt_id(self, node_id: str, number: int) -> int:
-        """Returns the id of a sender's n-th attempt at a node, from 1."""
-        salt = attempt_id_salt((LOOPBACK, self.node_ports[node_id]))
-        return make_attempt_id(salt, number)
-
     def generate_key(self) -> str:
         """Generates an idempotency key."""
         clock = NetworkClock(self.network)
