Settle the attempts of a node link before closing it

What callers saw: 504 at the route's timeout, though the upstream had answered in time; no repeat of a repeatable request.

Cause: when gossip reported that a node was dead, had left or had been replaced, its link was closed with attempts in flight. A closed link does not reconnect, so answers to these attempts were lost and none of them was settled before the deadline.

Change: a link with attempts is reset instead: it reconnects and asks the receiver about them, which delivers kept and later answers of a node that is alive, ends attempts as unknown if a newer process answers, and gives up after five failed connects. It is closed once nothing depends on it. Attempts at an address that the node has left end as unknown at once.

The test of retries over three hops calls release_link in place of close_link, on links without attempts. In the log lines the other node is named peer, since the field node is that of the writing node.

Ruled out: giving up the attempts when the link is closed; answers that are ready would be lost, and requests that must not be repeated would end as unknown.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -300,8 +300,12 @@
         self._slot_service.members_changed(service)
 
     def node_gone(self, node_id: str) -> None:
-        """Closes the link to a node that died, left or changed its address."""
-        self.router.close_link(node_id)
+        """Closes the link to a node after settling its attempts."""
+        self.router.release_link(node_id)
+
+    def node_moved(self, node_id: str) -> None:
+        """Ends attempts at the former address of a node."""
+        self.router.abandon_link(node_id)
 
     def process_replaced(
         self, service: str, replaced_owner: SlotOwner, node_id: str
--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -71,6 +71,7 @@
     __slots__ = (
         "_candidates",
         "_first_attempt_counter",
+        "_gone_nodes",
         "_link_factory",
         "_links",
         "_local_calls",
@@ -152,6 +153,7 @@
         self._server = server
         self._link_factory = link_factory
         self._links: dict[str, PeerLink] = {}
+        self._gone_nodes: set[str] = set()
         self._candidates: dict[str, tuple[str, ...]] = {}
         self._local_calls: dict[SentAttempt, IncomingCall] = {}
         self._slot_table_waits: dict[str, _SlotTableWait] = {}
@@ -363,11 +365,31 @@
                 self._links[node_id] = link
         return link
 
-    def close_link(self, node_id: str) -> None:
-        """Closes the link to a node that has left or changed its address."""
-        link = self._links.pop(node_id, None)
+    def release_link(self, node_id: str) -> None:
+        """Closes the link to a node that is believed gone.
+
+        The node may be alive. A link with attempts in flight is therefore
+        reset instead, which settles them, and closed afterwards.
+        """
+        link = self._links.get(node_id)
+        if link is None:
+            return
+        if link.is_idle:
+            self._close_link(node_id)
+        else:
+            self._gone_nodes.add(node_id)
+            link.reset()
+
+    def abandon_link(self, node_id: str) -> None:
+        """Ends attempts at a node's former address as unknown."""
+        link = self._links.get(node_id)
         if link is not None:
-            link.close()
+            link.give_up_attempts()
+            self._close_link(node_id)
+
+    def _close_link(self, node_id: str) -> None:
+        self._gone_nodes.discard(node_id)
+        self._links.pop(node_id).close()
 
     @property
     def outstanding_attempts(self) -> int:
@@ -378,6 +400,9 @@
         """Checks that the peer of each link responds; call it every 0.25 s."""
         for link in list(self._links.values()):
             link.check_liveness()
+        for node_id in list(self._gone_nodes):
+            if self._links[node_id].is_idle:
+                self._close_link(node_id)
 
     def give_up_attempts(self) -> None:
         """Ends attempts at other nodes with unknown outcome and reconnects."""
--- a/packages/node/radishtray_node/_decision_log.py
+++ b/packages/node/radishtray_node/_decision_log.py
@@ -98,7 +98,7 @@
             request=request_id.decode("latin-1"),
             stated=stated_id,
             route=route,
-            node=node_id,
+            peer=node_id,
             attempt=attempt_id,
         )
 
--- a/packages/node/radishtray_node/_fleet.py
+++ b/packages/node/radishtray_node/_fleet.py
@@ -61,7 +61,11 @@
         ...
 
     def node_gone(self, node_id: str) -> None:
-        """Called when a node has died, left or moved to another address."""
+        """Called when a node or its earlier process is believed gone."""
+        ...
+
+    def node_moved(self, node_id: str) -> None:
+        """Called when a node has moved to another address."""
         ...
 
     def process_replaced(
@@ -364,7 +368,9 @@
         has_moved = before is not None and (
             before.node_address != after.node_address
         )
-        if change.died_or_left or has_moved or is_replaced:
+        if has_moved:
+            self._events.node_moved(after.node_id)
+        elif change.died_or_left or is_replaced:
             self._events.node_gone(after.node_id)
         services = {after.service_name}
         if before is not None:
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -368,8 +368,12 @@
         self._router.set_candidates(service, self.fleet.candidates(service))
 
     def node_gone(self, node_id: str) -> None:
-        """Closes the link to a node that has died, left or moved."""
-        self._router.close_link(node_id)
+        """Closes the link to a node after settling its attempts."""
+        self._router.release_link(node_id)
+
+    def node_moved(self, node_id: str) -> None:
+        """Ends attempts at the former address of a node."""
+        self._router.abandon_link(node_id)
 
     def process_replaced(
         self, service: str, replaced_owner: SlotOwner, node_id: str
--- a/packages/node/radishtray_node/_node_server.py
+++ b/packages/node/radishtray_node/_node_server.py
@@ -109,7 +109,7 @@
             _LOG.warning(
                 "node connection rejected",
                 extra={
-                    "node": peer.node_id,
+                    "peer": peer.node_id,
                     "incarnation": peer.incarnation,
                     "epoch": peer.connection_epoch,
                     "reason": opened.error.value,
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -169,6 +169,11 @@
         """Number of attempts that were handed over and are not settled."""
         return self._outstanding.outstanding
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no attempt or frame depends on the link."""
+        return not (self._outstanding.outstanding or self._queue)
+
     @property
     def is_connected(self) -> bool:
         """Whether an authenticated connection is open."""
@@ -242,6 +247,19 @@
             self._on_rejected("silent_connection")
             connection.abort()
 
+    def reset(self) -> None:
+        """Aborts the connection, and settles its attempts over a new one."""
+        connection = self._connection
+        if connection is not None and connection.is_ready:
+            _LOG.info(
+                "node link reset",
+                extra={
+                    "address": f"{self.address[0]}:{self.address[1]}",
+                    "outstanding": self._outstanding.outstanding,
+                },
+            )
+            connection.abort()
+
     def give_up_attempts(self) -> None:
         """Ends all handed-over attempts as unknown; aborts the connection.
 
@@ -323,7 +341,7 @@
         _LOG.info(
             "node link opened",
             extra={
-                "node": connection.peer.node_id,
+                "peer": connection.peer.node_id,
                 "incarnation": connection.peer.incarnation,
                 "epoch": connection.epoch,
                 "lost": len(reopened.lost_attempts),
@@ -399,7 +417,7 @@
         self._outstanding.closed(connection.epoch)
         if self._is_connecting:
             self.connection_failed()
-        elif self._outstanding.outstanding or self._queue:
+        elif not self.is_idle:
             self._reconnect()
 
     def _reconnect(self) -> None:
--- a/packages/node/radishtray_node/tests/test_call_chains.py
+++ b/packages/node/radishtray_node/tests/test_call_chains.py
@@ -269,7 +269,7 @@
     if is_lossy:
         for node in nodes["t"][:2]:
             for sender in nodes["s"]:
-                sender.router.close_link(node.node_id)
+                sender.router.release_link(node.node_id)
             cluster.network.silent_ports.add(cluster.node_ports[node.node_id])
     caller = cluster.caller(a)
     caller.send("GET", "/s/read")
--- a/packages/node/radishtray_node/tests/test_gateway.py
+++ b/packages/node/radishtray_node/tests/test_gateway.py
@@ -239,9 +239,32 @@
         upstream.answer(http, http.uri)
     fleet.run(3)
     for path, result in results.items():
-        if result.status == 200:
+        assert result.answer is not None
+        assert (result.status, result.answer.body) == (200, path.encode())
+
+
+def test_a_reopened_link_delivers_no_kept_answer() -> None:
+    fleet = build_fleet(1, slots=16)
+    upstream = fleet.upstreams["n0"]
+    upstream.on_run = lambda http: upstream.answer(http, http.uri)
+    for link in ("first", "second"):
+        paths = [f"/once/{link}-{number}" for number in range(3)]
+        results = [fleet.send("e", path, path) for path in paths]
+        fleet.run(1)
+        for path, result in zip(paths, results, strict=True):
             assert result.answer is not None
-            assert result.answer.body == path.encode()
+            assert (result.status, result.answer.body) == (200, path.encode())
+        fleet.gateways["e"].node_gone("n0")
+
+
+def test_attempts_at_a_former_address_end_as_unknown() -> None:
+    fleet = build_fleet(1)
+    fleet.upstreams["n0"].on_run = lambda http: None
+    result = fleet.send("e", "/once/a", "r1")
+    fleet.run(0.1)
+    fleet.gateways["e"].node_moved("n0")
+    fleet.run(0.1)
+    assert result.status == 502
 
 
 def test_a_replaced_upstream_process_does_not_run_the_request() -> None:
