Do not deliver an answer that states the id of another request

What callers saw: an answer of another request was written to them, whatever the step on which it had been matched wrongly.

Change: the entry node compares the id in a node's answer with that of the request at the last step. An answer with another id is logged and counted as before, and its result is an unknown outcome: repeatable requests are sent again within their budget, others get 502. An answer that states no id is delivered as before.

Evidence: both cases of test_an_answer_that_states_another_request_id_is_not_delivered failed before (the caller got 200 with the other answer's body) and pass. Cost per call not measured yet.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -86,6 +86,7 @@
     Attributes:
         settings: Validated settings.
         identity: Node id and incarnation of this process.
+        attempt_sequence: Numbers of this process's attempts and connections.
         clock: Time source.
         metrics: Metrics of this node.
         entry: Handler of forwarded requests.
@@ -95,7 +96,6 @@
 
     __slots__ = (
         "_arrival_budget",
-        "_attempt_sequence",
         "_decode_table",
         "_fleet",
         "_fleet_size_until_s",
@@ -114,6 +114,7 @@
         "_timers",
         "_upstream_reports",
         "_upstream_server",
+        "attempt_sequence",
         "clock",
         "crash_tally",
         "entry",
@@ -148,7 +149,7 @@
         self.identity = NodeIdentity(
             settings.node_id, new_incarnation(self.clock)
         )
-        self._attempt_sequence = AttemptSequence.with_random_salt()
+        self.attempt_sequence = AttemptSequence.with_random_salt()
         self.metrics = Metrics()
         self.crash_tally = CrashTally(self.clock)
         self._reactor = reactor
@@ -403,7 +404,7 @@
             self._timers,
             address,
             self.identity,
-            self._attempt_sequence,
+            self.attempt_sequence,
             self.settings.cluster_keys,
             lambda frame: self._on_control_reply(node_id, frame),
             lambda _node_id, _incarnation: None,
--- a/packages/node/radishtray_node/_metrics.py
+++ b/packages/node/radishtray_node/_metrics.py
@@ -123,8 +123,8 @@
         rejected_connections: Node connections that this node ended, by
             reason.
         response_faults: Faults in what the upstream sent, by kind.
-        mismatched_answers: Answers of nodes that state the id of another
-            request.
+        mismatched_answers: Answers of nodes that were not delivered because
+            they state the id of another request.
     """
 
     __slots__ = (
@@ -217,7 +217,7 @@
         )
         self.mismatched_answers = Counter(
             "radishtray_answers_mismatched",
-            "Answers of nodes that state the id of another request.",
+            "Answers that were dropped: they state another request's id.",
             registry=registry,
         )
         for fault in ResponseFault:
--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -259,8 +259,7 @@
     def _on_answer(self, answer: wire.Answer) -> None:
         self._attempt = None
         router = self._entry.router
-        result = CallResult.from_wire(answer)
-        self._check_stated_id(result, answer.attempt_id)
+        result = self._verified_result(answer)
         self._entry.chains.record_thresholds(
             self.route.name, answer.threshold, answer.chain_threshold or 0
         )
@@ -290,17 +289,27 @@
         else:
             self._handle_unknown_outcome(reason)
 
-    def _check_stated_id(self, result: CallResult, attempt_id: int) -> None:
-        """Counts and logs an answer that states the id of another request."""
+    def _verified_result(self, answer: wire.Answer) -> CallResult:
+        """Returns the result of an answer.
+
+        An answer that states the id of another request is counted and logged;
+        its result is an unknown outcome.
+        """
         entry = self._entry
+        result = CallResult.from_wire(answer)
         request_id = self._request.request_id
         stated_id = find_header(result.headers, entry.request_id_header)
         if stated_id is None or stated_id == request_id.decode("latin-1"):
-            return
+            return result
         entry.router.metrics.mismatched_answers.inc()
         entry.log.log_mismatched_answer(
-            request_id, stated_id, self.route.name, self._node_id, attempt_id
+            request_id,
+            stated_id,
+            self.route.name,
+            self._node_id,
+            answer.attempt_id,
         )
+        return CallResult.refused(RefusalReason.NODE_LOST)
 
     def _on_failure(self, failure: SendFailure) -> None:
         self._attempt = None
--- a/packages/node/radishtray_node/tests/test_gateway.py
+++ b/packages/node/radishtray_node/tests/test_gateway.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from radishtray_protocol import RouteSplit
+from radishtray_protocol import RouteSplit, wire
 from radishtray_testing.gateway_builders import (
     HEADER_NAMES,
     GatewayFleet,
@@ -257,6 +257,44 @@
         fleet.gateways["e"].node_gone("n0")
 
 
+# Name: path of the request, status for its caller.
+MISMATCH_CASES = {"repeatable": ("/safe/a", 200), "once": ("/once/a", 502)}
+
+
+@pytest.mark.parametrize("name", MISMATCH_CASES)
+def test_an_answer_that_states_another_request_id_is_not_delivered(
+    name: str,
+) -> None:
+    path, status = MISMATCH_CASES[name]
+    fleet = build_fleet(2)
+    entry = fleet.gateways["e"]
+    for upstream in fleet.upstreams.values():
+        upstream.on_run = lambda http: None
+    result = fleet.send("e", path, "r1")
+    fleet.run(0.1)
+    (node_id,) = [n for n, up in fleet.upstreams.items() if up.runs]
+    for upstream in fleet.upstreams.values():
+        upstream.on_run = upstream.answer
+    node_port = entry.fleet.node_address(node_id)[1]
+    _, receiver_end = fleet.network.connections[node_port][-1]
+    answer = wire.Answer(
+        attempt_id=entry.attempt_sequence.last_id,
+        status=200,
+        headers=[HEADER_NAMES.request_id, "r2", HEADER_NAMES.signature, "5"],
+        body=b"other",
+        retries_used=0,
+        threshold=0,
+        queue_ms=0,
+        in_flight=0,
+    )
+    receiver_end.protocol.send(wire.Frame(answer=answer))
+    fleet.run(2)
+    assert result.answer is not None
+    assert (result.status, result.answer.body != b"other") == (status, True)
+    counted = b"radishtray_answers_mismatched_total 1.0"
+    assert counted in entry.metrics.exposition()
+
+
 def test_attempts_at_a_former_address_end_as_unknown() -> None:
     fleet = build_fleet(1)
     fleet.upstreams["n0"].on_run = lambda http: None
--- a/packages/testing/radishtray_testing/_reference_texts.py
+++ b/packages/testing/radishtray_testing/_reference_texts.py
@@ -88,7 +88,7 @@
     "radishtray_rejected_input_total": ("listener, reason", "requests or connections", "Input that a TCP listener for HTTP rejected."),
     "radishtray_node_connections_rejected_total": ("reason", "connections", "Connections between nodes that this node ended, and duplicate attempts and unmatched answers on them."),
     "radishtray_upstream_response_faults_total": ("fault", "responses", "Faults in what the upstream sent; forwarding by route only. `other_request` and `extra_bytes`: the upstream answers twice."),
-    "radishtray_answers_mismatched_total": ("-", "answers", "Answers of nodes that state the id of another request; forwarding by route only. Not zero: report a fault of radishtray."),
+    "radishtray_answers_mismatched_total": ("-", "answers", "Answers of nodes that were not delivered because they state the id of another request; forwarding by route only. Not zero: report a fault of radishtray."),
 }  # fmt: skip
 
 INPUT_REASON_TEXTS: Final = {
