End attempts sent under an earlier incarnation as unknown

Cause: the attempts were given up while the identity still had the old incarnation. Giving them up retries the repeatable ones at once, on links that had been given up before; these reconnected under the old incarnation and sent further requests. The next reconnect stated the new incarnation, the receiver made a new record and answered the query for these attempts with never seen. The same class as: attempts were matched to a record that is not theirs.

Fix: a link knows the incarnation under which its attempts were sent. When a connection states another one, they end as unknown instead of being queried. The order of steps no longer matters; the node adopts the incarnation and resets its links.

--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -404,10 +404,10 @@
             if self._links[node_id].is_idle:
                 self._close_link(node_id)
 
-    def give_up_attempts(self) -> None:
-        """Ends attempts at other nodes with unknown outcome and reconnects."""
+    def reset_links(self) -> None:
+        """Reconnects all links; call it after a change of incarnation."""
         for link in list(self._links.values()):
-            link.give_up_attempts()
+            link.reset()
 
     def close(self) -> None:
         """Closes all links."""
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -501,14 +501,12 @@
             return
         _LOG.warning(
             "an earlier process of this node had a higher incarnation; "
-            "adopting the next one and ending attempts as unknown",
+            "adopting a higher one and ending attempts as unknown",
             extra={"known_incarnation": later},
         )
-        # Attempts that were sent under the old incarnation can't be queried
-        # under the new one: the receiver would answer that it never saw them.
-        self._router.give_up_attempts()
         self.identity.incarnation = later + 1
         self.fleet.adopt_incarnation(later + 1)
+        self._router.reset_links()
 
     # Shutdown.
 
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -100,6 +100,7 @@
         "_connect_started_s",
         "_connection",
         "_identity",
+        "_incarnation",
         "_is_closed",
         "_is_connecting",
         "_last_call_sent_s",
@@ -154,6 +155,7 @@
         self._outstanding: OutstandingAttempts[SentAttempt, wire.Answer] = (
             OutstandingAttempts(sequence)
         )
+        self._incarnation = identity.incarnation
         self._connection: NodeConnection | None = None
         self._queue: list[SentAttempt | wire.Frame] = []
         self._is_connecting = False
@@ -261,10 +263,7 @@
             connection.abort()
 
     def give_up_attempts(self) -> None:
-        """Ends all handed-over attempts as unknown; aborts the connection.
-
-        Must be called before this node changes its incarnation.
-        """
+        """Ends all handed-over attempts as unknown; aborts the connection."""
         lost = self._outstanding.receiver_lost()
         connection, self._connection = self._connection, None
         self._is_connecting = False
@@ -330,21 +329,29 @@
         self._is_connecting = False
         self._connect_failures = 0
         self._ping_sent_s = None
+        lost = []
+        if connection.incarnation != self._incarnation:
+            # The receiver does not know attempts that were sent under another
+            # incarnation, though it may have run them.
+            self._incarnation = connection.incarnation
+            lost = self._outstanding.receiver_lost()
         reopened = self._outstanding.opened(
             connection.epoch, connection.peer.incarnation
         )
+        if reopened is not None:
+            lost += reopened.lost_attempts
+        for settled in lost:
+            self._settle_failed(settled.context, SendFailure.UNKNOWN)
         if reopened is None:
             connection.abort()
             return
-        for settled in reopened.lost_attempts:
-            self._settle_failed(settled.context, SendFailure.UNKNOWN)
         _LOG.info(
             "node link opened",
             extra={
                 "peer": connection.peer.node_id,
                 "incarnation": connection.peer.incarnation,
                 "epoch": connection.epoch,
-                "lost": len(reopened.lost_attempts),
+                "lost": len(lost),
                 "queried": len(reopened.query_ids),
             },
         )
--- a/packages/node/radishtray_node/tests/test_gateway.py
+++ b/packages/node/radishtray_node/tests/test_gateway.py
@@ -477,6 +477,38 @@
     assert after.status == 200
 
 
+# Which nodes get the requests is drawn at random, so the test is repeated.
+@pytest.mark.parametrize("run", range(5))
+def test_attempts_before_an_adopted_incarnation_do_not_run_again(
+    run: int,
+) -> None:
+    del run
+    fleet = build_fleet(2, slots=64)
+    entry = fleet.gateways["e"]
+    for upstream in fleet.upstreams.values():
+        upstream.on_run = lambda http: None
+    for number in range(8):
+        fleet.send("e", "/safe/", f"safe{number}")
+    fleet.run(0.1)
+    known = entry.identity.incarnation + 50
+    entry.fleet.membership._superseded_by = known
+    while entry.identity.incarnation <= known:
+        fleet.run(0.005)
+    fleet.run(0.1)
+    ids = [f"once{number}" for number in range(32)]
+    results = [fleet.send("e", "/once/", request_id) for request_id in ids]
+    fleet.run(0.1)
+    for name in ("n0", "n1"):
+        port = entry.fleet.node_address(name)[1]
+        for opening, _ in fleet.network.connections[port]:
+            if opening.connected:
+                opening.abortConnection()
+    fleet.run(1)
+    runs = all_runs(fleet)
+    assert [runs.count(request_id) for request_id in ids] == [1] * 32
+    assert 503 not in {result.status for result in results}
+
+
 @pytest.mark.parametrize("path", ["/once/a", "/short/hold", "/none/a"])
 def test_a_finished_request_leaves_no_reference_cycle(path: str) -> None:
     """Guards against reference cycles, which keep bodies until a collection.
--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -141,6 +141,11 @@
         """Number of this connection at the node that opened it, else zero."""
         return int(self._hello.connection_epoch)
 
+    @property
+    def incarnation(self) -> int:
+        """Incarnation that this side stated in the handshake."""
+        return int(self._hello.incarnation)
+
     @property
     def is_ready(self) -> bool:
         """Whether the peer is verified and the connection is open."""
