Draw the low bits of an adopted incarnation at random

What can happen (forced in a reviewer's trial; not seen through gossip alone): two processes of a node that learn one after the other of the same earlier process adopt the same incarnation, its number plus one. Receivers then take the second for the first: its epochs are rejected as old, its ids are dropped as duplicates without an answer, and a restarted receiver's never seen makes a request that ran count as not run.

Fix: the adopted number is in the millisecond after the earlier one's, with random low bits, as for a new process.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -512,7 +512,20 @@
     so that two processes started in the same millisecond differ: key slots
     are owned by one incarnation of a node.
     """
-    return (clock.wall_ms() << _INCARNATION_RANDOM_BITS) | secrets.randbits(
+    return _make_incarnation(clock.wall_ms())
+
+
+def incarnation_above(known: int) -> int:
+    """Returns a higher incarnation number, with random low bits.
+
+    Two processes that learn of the same earlier one thus adopt different
+    numbers.
+    """
+    return _make_incarnation((known >> _INCARNATION_RANDOM_BITS) + 1)
+
+
+def _make_incarnation(milliseconds: int) -> int:
+    return (milliseconds << _INCARNATION_RANDOM_BITS) | secrets.randbits(
         _INCARNATION_RANDOM_BITS
     )
 
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -17,7 +17,7 @@
     RouteTableDecoder,
     WatchableStore,
 )
-from radishtray_node._application import new_incarnation
+from radishtray_node._application import incarnation_above, new_incarnation
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
 from radishtray_node._decision_log import DecisionLog
@@ -504,8 +504,8 @@
             "adopting a higher one and ending attempts as unknown",
             extra={"known_incarnation": later},
         )
-        self.identity.incarnation = later + 1
-        self.fleet.adopt_incarnation(later + 1)
+        self.identity.incarnation = incarnation_above(later)
+        self.fleet.adopt_incarnation(self.identity.incarnation)
         self._router.reset_links()
 
     # Shutdown.
