Tie timers and failures of a node link to their connection

What callers can see: 503 after less than the time that a link is given to connect; a cut of a connection that is in use, after which attempts are settled over a further one; a connection that stays open though its link is closed, and fences the next link's.

Cause: the timer and the failure of a connect did not name the connection that they belong to, so those of an earlier one acted on a later one. A reconnect that waits for its delay replaced a connection that a new request had opened meanwhile. Closing a link did nothing while TCP was connecting.

Evidence: the three tests of test_link_events.py failed before and pass.

--- a/packages/node/radishtray_node/_node_server.py
+++ b/packages/node/radishtray_node/_node_server.py
@@ -230,7 +230,7 @@
             self._connections_by_token.pop(peer.token, None)
             self._attempt_table.close_connection(peer.token)
 
-    def connection_failed(self) -> None:
+    def connection_failed(self, connection: NodeConnection) -> None:
         """Does nothing: the accepting side opens no connections."""
 
     def tick(self) -> None:
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -296,13 +296,12 @@
                 self._settle_failed(item, SendFailure.NOT_RUN)
 
     def _connect(self) -> None:
-        if self._is_connecting or self._is_closed:
+        if self._is_connecting or self._is_closed or self.is_connected:
             return
         self._is_connecting = True
         self._ping_sent_s = None
         self._connect_started_s = self._reactor.seconds()
-        self._timers.call_later(_CONNECT_TIMEOUT_S, self._fail_queued_attempts)
-        self._connection = open_node_connection(
+        connection = open_node_connection(
             self._reactor,
             self.address,
             self._identity,
@@ -310,6 +309,15 @@
             self._signer,
             self,
         )
+        self._connection = connection
+        self._timers.call_later(
+            _CONNECT_TIMEOUT_S, lambda: self._handle_slow_connect(connection)
+        )
+
+    def _handle_slow_connect(self, connection: NodeConnection) -> None:
+        """Fails the attempts that have waited too long for a connection."""
+        if connection is self._connection:
+            self._fail_queued_attempts()
 
     def _hand_over(
         self, connection: NodeConnection, attempt: SentAttempt
@@ -420,11 +428,12 @@
         """Reconnects if attempts or frames depend on it."""
         if connection is not self._connection:
             return
-        self._connection = None
         self._outstanding.closed(connection.epoch)
         if self._is_connecting:
-            self.connection_failed()
-        elif not self.is_idle:
+            self.connection_failed(connection)
+            return
+        self._connection = None
+        if not self.is_idle:
             self._reconnect()
 
     def _reconnect(self) -> None:
@@ -439,8 +448,10 @@
         else:
             self._timers.call_later(_RECONNECT_DELAY_S, self._connect)
 
-    def connection_failed(self) -> None:
+    def connection_failed(self, connection: NodeConnection) -> None:
         """Fails queued attempts; reconnects to settle those handed over."""
+        if connection is not self._connection:
+            return
         self._is_connecting = False
         self._connection = None
         self._connect_failures += 1
--- /dev/null
+++ b/packages/node/radishtray_node/tests/test_link_events.py
@@ -0,0 +1,71 @@
+"""Guards against events of an earlier connection that act on a later one."""
+
+from radishtray_protocol import wire
+from radishtray_testing.gateway_builders import (
+    GatewayFleet,
+    build_route,
+    build_route_table,
+)
+from radishtray_testing.memory_network import MemoryTransport
+
+TABLE = build_route_table(build_route("once", "s", is_repeatable=False))
+
+
+def build_fleet() -> GatewayFleet:
+    """Starts entry node `e`, and node `n` with an upstream that holds."""
+    fleet = GatewayFleet(TABLE)
+    fleet.add("e", "x")
+    fleet.add("n", "s", slots=16)
+    fleet.upstreams["n"].on_run = lambda http: None
+    fleet.run(3)
+    fleet.gateways["e"].node_gone("n")
+    fleet.run(0.1)
+    return fleet
+
+
+def node_port(fleet: GatewayFleet) -> int:
+    """Returns the port of the node listener of `n`."""
+    return fleet.gateways["n"].settings.addresses.node_port
+
+
+def opened_ends(fleet: GatewayFleet) -> list[MemoryTransport]:
+    """Returns the opening ends of the connections to `n`, oldest first."""
+    return [end for end, _ in fleet.network.connections[node_port(fleet)]]
+
+
+def test_a_late_reconnect_timer_keeps_the_connection_that_is_ready() -> None:
+    fleet = build_fleet()
+    fleet.send("e", "/once/a", "a")
+    fleet.run(0.05)
+    opened_ends(fleet)[-1].abortConnection()
+    fleet.run(0.02)
+    fleet.send("e", "/once/b", "b")
+    fleet.run(0.05)
+    ready = opened_ends(fleet)
+    fleet.run(0.4)
+    assert opened_ends(fleet) == ready
+    assert ready[-1].connected
+
+
+def test_the_timer_of_an_earlier_connect_fails_no_later_attempt() -> None:
+    fleet = build_fleet()
+    upstream = fleet.upstreams["n"]
+    upstream.on_run = upstream.answer
+    fleet.send("e", "/once/a", "a")
+    fleet.run(0.22)
+    opened_ends(fleet)[-1].abortConnection()
+    fleet.run(0.01)
+    fleet.network.silent_ports.add(node_port(fleet))
+    result = fleet.send("e", "/once/b", "b")
+    fleet.run(0.25)
+    assert result.status == 0
+
+
+def test_a_link_that_is_closed_while_it_connects_opens_no_connection() -> None:
+    fleet = build_fleet()
+    entry = fleet.gateways["e"]
+    pull = wire.ReleasePull(have_generation=0)
+    entry.send_control("n", wire.Frame(release_pull=pull))
+    entry.node_moved("n")
+    fleet.run(1)
+    assert not opened_ends(fleet)[-1].connected
--- a/packages/testing/radishtray_testing/node_slopes.py
+++ b/packages/testing/radishtray_testing/node_slopes.py
@@ -165,7 +165,7 @@
     def connection_lost(self, connection: NodeConnection) -> None:
         """Does nothing; connections stay open until the process ends."""
 
-    def connection_failed(self) -> None:
+    def connection_failed(self, connection: NodeConnection) -> None:
         """Stops the measurement.
 
         Raises:
--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -152,7 +152,13 @@
         return self.peer is not None and not self._is_closed
 
     def connectionMade(self) -> None:
-        """Sends the hello and starts the handshake timeout."""
+        """Sends the hello and starts the handshake timeout.
+
+        A connection that was closed while it was being opened is aborted.
+        """
+        if self._is_closed:
+            self.transport.abortConnection()
+            return
         self.transport.setTcpNoDelay(True)
         self._writer = DirectWriter(self.transport)
         self._handshake_timer = self._reactor.callLater(
@@ -230,6 +236,8 @@
         self._cancel_handshake_timer()
         if self.transport is not None:
             self.transport.loseConnection()
+        else:
+            self._is_closed = True
 
     def abort(self) -> None:
         """Closes the connection at once; later frames are not handled."""
@@ -279,7 +287,7 @@
         """The connection was closed by either side or by a failure."""
         ...
 
-    def connection_failed(self) -> None:
+    def connection_failed(self, connection: NodeConnection) -> None:
         """The TCP connection could not be opened."""
         ...
 
@@ -297,7 +305,7 @@
         return self._connection
 
     def clientConnectionFailed(self, connector: object, reason: object) -> None:
-        self._events.connection_failed()
+        self._events.connection_failed(self._connection)
 
 
 def open_node_connection(
@@ -420,7 +428,7 @@
         self._connections.discard(connection)
         self._events.connection_lost(connection)
 
-    def connection_failed(self) -> None:
+    def connection_failed(self, connection: NodeConnection) -> None:
         """Does nothing, since a listener opens no connections."""
 
 
