--- a/packages/testing/radishtray_testing/chain_model.py
+++ b/packages/testing/radishtray_testing/chain_model.py
@@ -12,11 +12,9 @@
 []
 """
 
-import heapq
 import itertools
 import random
-from collections.abc import Callable, Sequence
-from enum import Enum
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from radishtray_state import (
@@ -27,7 +25,6 @@
     AttemptTable,
     AttemptVerdict,
     ConnectionToken,
-    ManualClock,
     OutstandingAttempts,
     RefusalReason,
     RetryLedger,
@@ -35,8 +32,8 @@
     RetryThrottle,
 )
 from radishtray_testing.chain_checks import ChainChecks
-
-Action = Callable[[], None]
+from radishtray_testing.chain_faults import ANSWER_FAULTS, Fault
+from radishtray_testing.scheduler import Action, Scheduler
 
 _FOREVER = float("inf")
 _LINK_DELAY_RANGE_S = (0.001, 0.005)
@@ -53,45 +50,6 @@
 _FOLLOW_UP_CALL_PROBABILITY = 0.4
 
 
-class Fault(Enum):
-    """Faults that a run may contain."""
-
-    LOST_ANSWER = "lost_answer"
-    """An answer is not written to its connection."""
-
-    LATE_ANSWER = "late_answer"
-    """An answer is written after a delay."""
-
-    CROSSED_ANSWER = "crossed_answer"
-    """An answer is also written to the connections of other processes."""
-
-    DUPLICATE_ANSWER = "duplicate_answer"
-    """An answer is written three times, the last time after a delay."""
-
-    KILL = "kill"
-    """A process ends and is replaced by one of the next incarnation."""
-
-    FREEZE = "freeze"
-    """A process is paused for a while."""
-
-    CUT = "cut"
-    """A connection is closed and its frames in transit are lost."""
-
-    SILENCE = "silence"
-    """A connection delivers nothing for a while, or never again."""
-
-    REPLACE_PAUSED = "replace_paused"
-    """A paused process is replaced, then resumes beside its replacement."""
-
-
-ANSWER_FAULTS = (
-    Fault.LOST_ANSWER,
-    Fault.LATE_ANSWER,
-    Fault.CROSSED_ANSWER,
-    Fault.DUPLICATE_ANSWER,
-)
-
-
 class ChainSettings(NamedTuple):
     """Parameters of a run.
 
@@ -196,40 +154,6 @@
 )
 
 
-class Scheduler:
-    """Event queue that runs actions in order of time on a manual clock."""
-
-    __slots__ = ("_events", "_sequence_numbers", "clock", "now_s")
-
-    def __init__(self) -> None:
-        """Creates an empty queue at time zero."""
-        self.clock = ManualClock()
-        # Kept here because the clock rounds to microseconds. An action that
-        # was postponed to a given time could otherwise read an earlier time
-        # from the clock when it runs.
-        self.now_s = 0.0
-        self._events: list[tuple[float, int, Action]] = []
-        self._sequence_numbers = itertools.count()
-
-    def run_at(self, time_s: float, action: Action) -> None:
-        """Schedules an action for a time; equal times keep their order."""
-        heapq.heappush(
-            self._events, (time_s, next(self._sequence_numbers), action)
-        )
-
-    def run_after(self, delay_s: float, action: Action) -> None:
-        """Schedules an action after a delay."""
-        self.run_at(self.now_s + delay_s, action)
-
-    def run_until(self, until_s: float) -> None:
-        """Runs all actions that are due up to a time, in order."""
-        while self._events and self._events[0][0] <= until_s:
-            time_s, _, action = heapq.heappop(self._events)
-            self.clock.advance(time_s - self.now_s)
-            self.now_s = time_s
-            action()
-
-
 class _Link:
     """One connection; delivers frames in order unless they are lost.
 
--- a/packages/testing/radishtray_testing/chain_mutations.py
+++ b/packages/testing/radishtray_testing/chain_mutations.py
@@ -30,7 +30,8 @@
     _outstanding_attempts,
 )
 from radishtray_testing import crash_model
-from radishtray_testing.chain_model import ChainSettings, Fault, run_chain
+from radishtray_testing.chain_faults import Fault
+from radishtray_testing.chain_model import ChainSettings, run_chain
 from radishtray_testing.crash_model import CrashSettings, run_crashes
 
 _RETRY_BUDGETS = (5, 9, 3)
--- a/packages/testing/radishtray_testing/crash_model.py
+++ b/packages/testing/radishtray_testing/crash_model.py
@@ -24,7 +24,7 @@
     suspect_hosts,
 )
 from radishtray_testing.chain_checks import CrashChecks
-from radishtray_testing.chain_model import Scheduler
+from radishtray_testing.scheduler import Scheduler
 
 # Shorter than the 60 s for which nodes remember a crash, because an entry loses
 # 0.1 s of this time with each hop between nodes.
--- a/packages/testing/radishtray_testing/tests/test_chain_model.py
+++ b/packages/testing/radishtray_testing/tests/test_chain_model.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from radishtray_testing import chain_mutations
-from radishtray_testing.chain_model import ChainSettings, Fault, run_chain
+from radishtray_testing.chain_faults import Fault
+from radishtray_testing.chain_model import ChainSettings, run_chain
 from radishtray_testing.crash_model import CrashSettings, run_crashes
 
 # Generates the same examples every time, so that CI results are reproducible.
