Close links of live nodes in the chain model, and mutate their numbering

The chain model missed the cause of MIXED: its clients lived as long as their process, while the product closes the link to a node that gossip reports as gone and makes a new one for the next call.

New fault `gone_report`: a process closes its client of a node, either wrongly at any time or up to 1 s after the node was replaced. As in `PeerLink.close`, queued attempts fail as not run, attempts that were handed over stay open until their timeout, answers already in transit may still be read, and a handshake in progress may still complete. Cancellations go out on the client that is current then (`CallRouter.cancel_attempt`). The model allows the next call to choose the node at once, so the report lasts for no time.

New check: a cancellation that a node applies must be meant for that attempt.

New mutations.

--- a/packages/testing/radishtray_testing/chain_checks.py
+++ b/packages/testing/radishtray_testing/chain_checks.py
@@ -10,6 +10,7 @@
 * G3: a call gets at most one answer, and only to one of its own attempts.
 * G4: an attempt runs at most once, and never if it is reported as not run.
 * G5: a call of an at-most-once kind runs at most once over all its attempts.
+* Cancellations: a cancellation reaches only the attempt that it is for.
 """
 
 from collections import Counter, defaultdict
@@ -111,6 +112,16 @@
                 " it ran"
             )
 
+    def record_cancelled_attempt(
+        self, intended_number: int, attempt_number: int
+    ) -> None:
+        """Records that a node applied a cancellation to a running attempt."""
+        if attempt_number != intended_number:
+            self._violations.append(
+                f"Cancellations: the one for attempt {intended_number}"
+                f" cancelled attempt {attempt_number}"
+            )
+
     def record_delivered_answer(
         self, call_number: int, attempt_number: int
     ) -> None:
--- a/packages/testing/radishtray_testing/chain_faults.py
+++ b/packages/testing/radishtray_testing/chain_faults.py
@@ -33,6 +33,13 @@
     REPLACE_PAUSED = "replace_paused"
     """A paused process is replaced, then resumes beside its replacement."""
 
+    GONE_REPORT = "gone_report"
+    """A process closes its link to a node that it believes to be gone.
+
+    The node may be alive, or the link may have reconnected to the process that
+    replaced it.
+    """
+
 
 ANSWER_FAULTS = (
     Fault.LOST_ANSWER,
--- a/packages/testing/radishtray_testing/chain_model.py
+++ b/packages/testing/radishtray_testing/chain_model.py
@@ -45,6 +45,7 @@
 _HEDGE_DELAY_S = 0.1
 _REQUEST_INTERVAL_S = 0.15
 _FAULT_INTERVAL_S = 0.2
+_GOSSIP_DELAY_RANGE_S = (0.0, 1.0)
 _ANSWER_FAULT_PROBABILITY = 0.3
 _EARLY_ANSWER_PROBABILITY = 0.3
 _FOLLOW_UP_CALL_PROBABILITY = 0.4
@@ -119,6 +120,7 @@
 
 class _Cancel(NamedTuple):
     attempt_id: int
+    attempt_number: int
 
 
 class _AttemptQuery(NamedTuple):
@@ -194,6 +196,17 @@
     def send_to_client(self, frame: _Frame) -> None:
         self._send(1, lambda: self.client.receive(self, frame))
 
+    def close(self) -> None:
+        """Closes the client's side after the frames that it has written."""
+        self._send(0, lambda: self.server.handle_lost_link(self))
+        # Frames that arrive in the meantime are still read.
+        self.client.process.run_after(
+            self._model.rng.uniform(*_LINK_DELAY_RANGE_S), self._stop_reading
+        )
+
+    def _stop_reading(self) -> None:
+        self.is_closed_by_client = True
+
     def cut(self) -> None:
         """Loses all frames in transit and notifies both ends."""
         if not self.is_cut:
@@ -273,6 +286,7 @@
     """
 
     __slots__ = (
+        "_is_closed",
         "_open_link",
         "_pending_link",
         "_queue",
@@ -293,6 +307,7 @@
         self._open_link: _Link | None = None
         self._pending_link: _Link | None = None
         self._queue: list[_Attempt] = []
+        self._is_closed = False
         self.last_received_s = 0.0
         process.run_after(_PING_INTERVAL_S, self._check_link)
 
@@ -313,10 +328,27 @@
             self.outstanding.give_up(attempt.attempt_id)
         return False
 
-    def cancel(self, attempt: _Attempt) -> None:
-        self.withdraw(attempt)
+    def send_cancel(self, attempt: _Attempt) -> None:
+        """Sends a cancellation, also for an attempt of an earlier client."""
         if attempt.attempt_id is not None and self._open_link is not None:
-            self._open_link.send_to_server(_Cancel(attempt.attempt_id))
+            self._open_link.send_to_server(
+                _Cancel(attempt.attempt_id, attempt.payload.attempt_number)
+            )
+
+    def close(self) -> None:
+        """Ends the client for good; queued attempts fail as not run.
+
+        Attempts that were handed over time out, unless their answers are
+        already in transit or a handshake in progress completes.
+        """
+        self._is_closed = True
+        queue, self._queue = self._queue, []
+        for attempt in queue:
+            attempt.call.handle_not_run(attempt, RefusalReason.NEVER_ARRIVED)
+        if self._open_link is not None:
+            self._open_link.close()
+        if self._pending_link is not None and self.model.rng.random() < 0.5:
+            self._pending_link.close()
 
     def handle_lost_link(self, link: _Link) -> None:
         self.outstanding.closed(link.epoch)
@@ -357,6 +389,8 @@
             call.handle_lost_answer(attempt)
 
     def _check_link(self) -> None:
+        if self._is_closed:
+            return
         self.process.run_after(_PING_INTERVAL_S, self._check_link)
         if not self._queue and not self.outstanding.outstanding:
             return
@@ -554,7 +588,7 @@
                 # About half of the open attempts are not cancelled, so that
                 # their answers arrive after their share has been forfeited.
                 if self._model.rng.random() < 0.5:
-                    attempt.client.cancel(attempt)
+                    self._process.cancel(attempt)
                     attempt.is_open = False
                 self._ledger.forfeit(attempt.grant)
         self._on_done()
@@ -565,12 +599,12 @@
 
     __slots__ = (
         "_attempt_id",
+        "_is_cancelled",
         "_ledger",
         "_open_call_count",
         "_payload",
         "_process",
         "_token",
-        "is_cancelled",
     )
 
     def __init__(
@@ -585,13 +619,24 @@
         self._payload = frame.payload
         self._ledger = RetryLedger(frame.budget_share)
         self._open_call_count = 0
-        self.is_cancelled = False
+        self._is_cancelled = False
         rng = process.model.rng
         if rng.random() < process.model.settings.refusal_probability:
             self._refuse(RefusalReason.SHED)
         else:
             process.run_after(rng.uniform(0, 0.02), self._start)
 
+    def cancel(self, attempt_number: int) -> None:
+        """Refuses the attempt if its run has not started.
+
+        Args:
+            attempt_number: Number of the attempt that its sender cancels.
+        """
+        self._is_cancelled = True
+        self._process.model.checks.record_cancelled_attempt(
+            attempt_number, self._payload.attempt_number
+        )
+
     def _refuse(self, reason: RefusalReason) -> None:
         self._process.model.checks.record_not_run_report(
             self._payload.attempt_number
@@ -599,7 +644,7 @@
         self._send_answer(reason)
 
     def _start(self) -> None:
-        if self.is_cancelled:
+        if self._is_cancelled:
             self._refuse(RefusalReason.CANCELLED_QUEUED)
             return
         model = self._process.model
@@ -690,6 +735,19 @@
             self._clients[node_id] = _Client(self, node_id)
         return self._clients[node_id]
 
+    def cancel(self, attempt: _Attempt) -> None:
+        """Stops waiting for an attempt and cancels it at its receiver."""
+        attempt.client.withdraw(attempt)
+        client = self._clients.get(attempt.client.node_id)
+        if client is not None:
+            client.send_cancel(attempt)
+
+    def node_gone(self, node_id: str) -> None:
+        """Closes the client of a node; the next call makes a new one."""
+        client = self._clients.pop(node_id, None)
+        if client is not None:
+            client.close()
+
     def run_after(self, delay_s: float, action: Action) -> None:
         self.model.scheduler.run_after(
             delay_s, lambda: self.run_when_active(action)
@@ -722,9 +780,8 @@
                 self._runs[self._run_key(link, frame.attempt_id)] = run
         elif isinstance(frame, _Cancel):
             if self.attempt_table.cancel(token, frame.attempt_id):
-                self._runs[
-                    self._run_key(link, frame.attempt_id)
-                ].is_cancelled = True
+                run = self._runs[self._run_key(link, frame.attempt_id)]
+                run.cancel(frame.attempt_number)
         elif isinstance(frame, _AttemptQuery):
             states = self.attempt_table.query(token, frame.attempt_ids)
             link.send_to_client(_AttemptStates(states))
@@ -876,11 +933,23 @@
             link = self.rng.choice(self.links[-12:])
             end_s = now_s + pause_s
             link.silent_until_s = self.rng.choice((_FOREVER, end_s, end_s))
+        elif fault is Fault.GONE_REPORT and self.links:
+            link = self.rng.choice(self.links[-12:])
+            self._report_gone(link.client.process, link.server.node_id, 0.0)
 
     def _replace_process(self, process: _Process) -> None:
         self.current_processes[process.node_id] = _Process(
             self, process.node_id, process.incarnation + 1
         )
+        if Fault.GONE_REPORT in self.settings.faults:
+            for receiver in self.current_processes.values():
+                delay_s = self.rng.uniform(*_GOSSIP_DELAY_RANGE_S)
+                self._report_gone(receiver, process.node_id, delay_s)
+
+    def _report_gone(
+        self, receiver: _Process, node_id: str, delay_s: float
+    ) -> None:
+        receiver.run_after(delay_s, lambda: receiver.node_gone(node_id))
 
     def _break_links(self, process: _Process) -> None:
         """Resets all connections of a killed process, or silences them."""
--- a/packages/testing/radishtray_testing/chain_mutations.py
+++ b/packages/testing/radishtray_testing/chain_mutations.py
@@ -18,9 +18,11 @@
 
 from radishtray_state import (
     AttemptSequence,
+    AttemptState,
     AttemptVerdict,
     CrashSuspects,
     OutstandingAttempts,
+    RefusalReason,
     RetryLedger,
     RetryPolicy,
     SuspectVerdict,
@@ -29,7 +31,7 @@
     _crash_suspects,
     _outstanding_attempts,
 )
-from radishtray_testing import crash_model
+from radishtray_testing import chain_model, crash_model
 from radishtray_testing.chain_faults import Fault
 from radishtray_testing.chain_model import ChainSettings, run_chain
 from radishtray_testing.crash_model import CrashSettings, run_crashes
@@ -40,11 +42,15 @@
 PatchFactory = Callable[[], Any]
 
 _ANY_ID_WITH_FENCE = "ids need not increase (fence kept)"
+_EPOCHS_OF_LINK = "each link numbers its own connections"
 _REDUNDANT_MUTATIONS = {
     # Not needed for the guarantees in this model: the fence alone rejects
     # calls from older connections, and connections do not duplicate calls.
     # Unit tests cover it.
     _ANY_ID_WITH_FENCE,
+    # Receivers reject the connections of a reopened link until their epochs
+    # exceed those of the earlier link, which only delays calls.
+    _EPOCHS_OF_LINK,
 }
 
 CHAIN_MUTATIONS: dict[str, tuple[PatchFactory, ...]] = {}
@@ -65,14 +71,18 @@
     (CHAIN_MUTATIONS if mutations is None else mutations)[name] = patches
 
 
-# The functions below replace methods of `radishtray_state`, each without one
-# mechanism. They are typed as `Any` because they use private attributes.
+# The functions below replace methods of `radishtray_state` and of the model's
+# client, each without one mechanism. They are typed as `Any` because they use
+# private attributes.
 
 _original_begin = RetryLedger.begin
 _original_settle = RetryLedger.settle
 _original_decide = RetryPolicy.decide
 _original_opened = OutstandingAttempts.opened
 _original_init = AttemptSequence.__init__
+_original_outstanding_settle = OutstandingAttempts.settle
+_original_attempts_init = OutstandingAttempts.__init__
+_original_close = chain_model._Client.close
 
 
 def _begin_without_cost(self: Any, is_retry: bool) -> Any:
@@ -141,6 +151,65 @@
     _original_init(self, 0)
 
 
+class _LinkSequence(AttemptSequence):
+    """Numbers the attempts and the connections of one link from 1."""
+
+    def __init__(self, process_sequence: Any) -> None:
+        first_id = process_sequence._first_id
+        super().__init__(first_id >> _outstanding_attempts._COUNTER_BITS)
+        self._process_sequence = process_sequence
+
+
+class _LinkSequenceOfIds(_LinkSequence):
+    """Numbers only the attempts of one link from 1."""
+
+    def next_epoch(self) -> int:
+        return int(self._process_sequence.next_epoch())
+
+
+class _LinkSequenceOfEpochs(_LinkSequence):
+    """Numbers only the connections of one link from 1."""
+
+    def next_id(self) -> int:
+        return int(self._process_sequence.next_id())
+
+
+def _patch_of_sequence(link_sequence: Callable[[Any], Any]) -> PatchFactory:
+    def init(self: Any, sequence: Any) -> None:
+        _original_attempts_init(self, link_sequence(sequence))
+
+    return _patch_of(OutstandingAttempts, "__init__", init)
+
+
+def _close_as_not_run(self: Any) -> None:
+    for lost in self.outstanding.receiver_lost():
+        lost.context.call.handle_not_run(
+            lost.context, RefusalReason.NEVER_ARRIVED
+        )
+    _original_close(self)
+
+
+def _send_cancel_of_another(self: Any, attempt: Any) -> None:
+    for attempt_id in list(self.outstanding._current)[:1]:
+        link = self._open_link
+        if link is not None:
+            link.send_to_server(
+                chain_model._Cancel(attempt_id, attempt.payload.attempt_number)
+            )
+
+
+def _settle_without_id_match(self: Any, epoch: int, states: Any) -> Any:
+    attempt_ids = reversed(self._earlier)
+    return _original_outstanding_settle(
+        self,
+        epoch,
+        [
+            AttemptState(attempt_id, state.phase, state.answer)
+            for attempt_id, state in zip(attempt_ids, states, strict=False)
+        ],
+    )
+
+
 def _decide_as_idempotent(self: Any, outcome: Any, **request: Any) -> Any:
     request.update(is_idempotent=True, is_at_most_once=False)
     return _original_decide(self, outcome, **request)
@@ -217,6 +286,27 @@
     "all senders use the same ids",
     _patch_of(AttemptSequence, "__init__", _init_without_salt),
 )
+_add_mutation(
+    "each link numbers its own attempts and connections",
+    _patch_of_sequence(_LinkSequence),
+)
+_add_mutation(
+    "each link numbers its own attempts",
+    _patch_of_sequence(_LinkSequenceOfIds),
+)
+_add_mutation(_EPOCHS_OF_LINK, _patch_of_sequence(_LinkSequenceOfEpochs))
+_add_mutation(
+    "attempts of a closed link are taken for not run",
+    _patch_of(chain_model._Client, "close", _close_as_not_run),
+)
+_add_mutation(
+    "cancellations are not matched by id",
+    _patch_of(chain_model._Client, "send_cancel", _send_cancel_of_another),
+)
+_add_mutation(
+    "states in the answer to a query are not matched by id",
+    _patch_of(OutstandingAttempts, "settle", _settle_without_id_match),
+)
 _add_mutation(
     "at-most-once kinds are retried after a loss",
     _patch_of(RetryPolicy, "decide", _decide_as_idempotent),
--- a/packages/testing/radishtray_testing/tests/test_chain_model.py
+++ b/packages/testing/radishtray_testing/tests/test_chain_model.py
@@ -35,9 +35,10 @@
 ) -> None:
     """Faults must not break a guarantee of the call chain.
 
-    Lost or misdirected answers, lost connections and replaced processes could
-    lead to retries beyond the budget, to a call that gets the answer of
-    another one, or to an attempt that runs after it was reported as not run.
+    Lost or misdirected answers, lost connections, replaced processes and links
+    that are closed while attempts run could lead to retries beyond the budget,
+    to a call that gets the answer of another one, or to an attempt that runs
+    after it was reported as not run.
     """
     checks = run_chain(
         ChainSettings(
@@ -109,9 +110,13 @@
 
 def test_the_checks_catch_the_quickest_mutations() -> None:
     """Checks that miss a disabled mechanism would miss a real fault, too."""
-    for name in (
-        "a retry costs nothing",
-        "running attempts are taken for not run",
+    for name, guarantee in (
+        ("a retry costs nothing", "G1"),
+        ("running attempts are taken for not run", "G4"),
+        ("each link numbers its own attempts and connections", "G3"),
+        ("attempts of a closed link are taken for not run", "G4"),
+        ("cancellations are not matched by id", "Cancellations"),
     ):
         with chain_mutations.applied(chain_mutations.CHAIN_MUTATIONS[name]):
-            assert chain_mutations.find_chain_violation(seeds=1), name
+            violation = chain_mutations.find_chain_violation(seeds=1)
+        assert violation.startswith(f"{guarantee}: "), name
