--- a/packages/testing/radishtray_testing/chain_mutations.py
+++ b/packages/testing/radishtray_testing/chain_mutations.py
@@ -49,7 +49,7 @@
     # Unit tests cover it.
     _ANY_ID_WITH_FENCE,
     # Receivers reject the connections of a reopened link until their epochs
-    # exceed those of the earlier link, which only delays calls.
+    # exceed those of the earlier link. Unit tests cover the numbering.
     _EPOCHS_OF_LINK,
 }
 
