Fail a request whose answer states no request id

What callers saw: a 200 or a 500 with signature and body of another request, when the upstream had sent a second answer without an id late on a connection that was in use again. A 503 of that kind with the not-run header made the node repeat an unsafe request that the upstream was running.

Cause: the connection compared ids only if the answer stated one, and put the connection back into the pool afterwards.

Upstreams repeat the id in each answer to a request with an id, so bytes without one can't be attributed to the request in flight. - 2xx: a success of another request breaks a rule, a failed request does not; the request fails with INVALID_ANSWER, which promises nothing. - 4xx and 5xx: a 404 or 500 would be final for the caller, and a signed 500 of another request is as wrong as a success. They fail in the same way. - 408, 421, 429 and 503 promise that the request has not run. The node would repeat the request on the strength of a promise made for another one, so such an answer must not be passed on as a promise. The 503 without a body (case no_id, unchanged) is still reported, but without its headers, so that the node does not see the not-run header and treats the outcome as unknown. The others fail. In each case the connection is closed, as a further answer may follow. Two ids that differ count as the id of another request.

Requests without an id are not affected; their answers were reported as NO_REQUEST_ID faults and are not any more.

The upstream of the gateway tests did not repeat the id in its 421, 503 and in the failures of four test cases, unlike a real one. It does now; the expected results are unchanged, and cases for answers without an id are added.

Ruled out (cases that passed before): second answers that state the id of their request, in one read or split at each byte, before and after the next request was sent; bytes while the connection is idle; interim answers, `Connection: close`, chunks and answers without a length with an id.

--- a/packages/node/radishtray_node/tests/test_gateway.py
+++ b/packages/node/radishtray_node/tests/test_gateway.py
@@ -11,6 +11,7 @@
     GatewayFleet,
     build_route,
     build_route_table,
+    echoed_id,
 )
 from radishtray_transport import HttpRequest
 
@@ -66,15 +67,23 @@
 
 
 def answer_without_signature(http: HttpRequest) -> None:
-    http.respond(200, [], b"no signature")
+    http.respond(200, echoed_id(http), b"no signature")
 
 
 def answer_unavailable(http: HttpRequest) -> None:
-    http.respond(503, [HEADER_NAMES.signature, "0"], b"")
+    http.respond(503, [*echoed_id(http), HEADER_NAMES.signature, "0"], b"")
 
 
 def answer_server_error(http: HttpRequest) -> None:
-    http.respond(500, [HEADER_NAMES.signature, "0"], b"")
+    http.respond(500, [*echoed_id(http), HEADER_NAMES.signature, "0"], b"")
+
+
+def answer_without_id(http: HttpRequest) -> None:
+    http.respond(200, [HEADER_NAMES.signature, "0"], b"")
+
+
+def refuse_without_id(http: HttpRequest) -> None:
+    http.respond(503, [HEADER_NAMES.not_run, "1"], b"")
 
 
 # Name: fault of the first upstream that is reached, path, status of the answer,
@@ -89,6 +98,10 @@
     "signed_503_once": (answer_unavailable, "/once/", 502, 1),
     "failure_safe": (answer_server_error, "/safe/", 200, 2),
     "failure_once": (answer_server_error, "/once/", 500, 1),
+    # Without an id, the answer may be one to another request.
+    "no_id_safe": (answer_without_id, "/safe/", 200, 2),
+    "no_id_once": (answer_without_id, "/once/", 502, 1),
+    "refused_without_id_once": (refuse_without_id, "/once/", 502, 1),
     "shed_safe": ("shed", "/safe/", 200, 1),
     "shed_once": ("shed", "/once/", 200, 1),
 }
--- a/packages/testing/radishtray_testing/gateway_builders.py
+++ b/packages/testing/radishtray_testing/gateway_builders.py
@@ -218,6 +218,12 @@
     )
 
 
+def echoed_id(http: HttpRequest) -> list[str]:
+    """Returns the header with which an upstream repeats a request's id."""
+    request_id = http.header(HEADER_NAMES.request_id.encode()) or b""
+    return [HEADER_NAMES.request_id, request_id.decode()]
+
+
 class FakeGatewayUpstream:
     """An upstream of a gateway that reads the gateway's request headers.
 
@@ -249,7 +255,7 @@
     def _handle(self, http: HttpRequest) -> None:
         expected = http.header(HEADER_NAMES.expected_instance.encode())
         if expected != self._instance.encode():
-            http.respond(421, [], b"")
+            http.respond(421, echoed_id(http), b"")
             return
         request_id = http.header(HEADER_NAMES.request_id.encode()) or b""
         self.runs.append(request_id.decode())
@@ -260,10 +266,8 @@
         self, http: HttpRequest, body: bytes = b"done", status: int = 200
     ) -> None:
         """Responds to a request that has run, with the signature header."""
-        request_id = http.header(HEADER_NAMES.request_id.encode()) or b""
-        headers = [HEADER_NAMES.request_id, request_id.decode()]
-        headers += [HEADER_NAMES.signature, f"{len(body)}"]
-        http.respond(status, headers, body)
+        signature = [HEADER_NAMES.signature, f"{len(body)}"]
+        http.respond(status, echoed_id(http) + signature, body)
 
     def shed(self, http: HttpRequest) -> None:
         """Responds that a request was not run and drops it from `runs`.
@@ -271,7 +275,7 @@
         The request must be the newest one.
         """
         self.runs.pop()
-        http.respond(503, [HEADER_NAMES.not_run, "1"], b"")
+        http.respond(503, [*echoed_id(http), HEADER_NAMES.not_run, "1"], b"")
 
     def report(
         self, service: str, sequence: int, *, slots: int = 8, **changes: Any
--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -128,8 +128,8 @@
             on_response: Called with the response, at most once.
             on_failure: Called instead if there is no response.
             host: Value of the Host header; the server's address if None.
-            expected_request_id: Request id that the response must repeat, if
-                it states one; empty accepts any.
+            expected_request_id: Request id that the response must repeat if
+                the rules name a header for it; empty accepts any.
 
         Returns:
             The pending request, which can be cancelled.
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -33,6 +33,7 @@
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 _MAX_HEAD_BYTES = 65536
 _BODILESS_STATUSES = frozenset((204, 304))
+_SERVICE_UNAVAILABLE = 503
 # A connection is not reused after this fraction of the idle timeout that the
 # server states. A request that is sent while the server closes the connection
 # has an unknown outcome.
@@ -70,8 +71,9 @@
 class HttpConnection(Protocol):
     """One keep-alive connection with at most one request in flight.
 
-    A connection that received bytes that belong to no request, or a response
-    to another request, is closed, as its next response can't be trusted.
+    A connection that received bytes that belong to no request, a response to
+    another request or one without the id of its request is closed, as its next
+    response can't be trusted.
     """
 
     def __init__(self, pool: ConnectionPool) -> None:
@@ -79,6 +81,7 @@
         self.idle_since_s = 0.0
         self._pool = pool
         self._rules = pool.rules
+        self._id_header = pool.rules.request_id_header.encode("latin-1")
         self._idle_limit_s = pool.rules.idle_limit_s
         self._max_body_bytes = pool.max_body_bytes
         self._parser: HttpResponseParser | None = HttpResponseParser(self)
@@ -101,6 +104,9 @@
         self._has_framing_header = False
         self._keep_alive = True
         self._is_close_delimited = False
+        self._stated_ids: list[str] = []
+        self._is_for_other_request = False
+        self._is_unidentified = False
 
     @property
     def idle_limit_s(self) -> float:
@@ -171,8 +177,11 @@
             return
         lowered = name.lower()
         if lowered not in _HOP_BY_HOP_HEADERS:
+            text = (value or b"").decode("latin-1")
             self._headers.append(name.decode("latin-1"))
-            self._headers.append((value or b"").decode("latin-1"))
+            self._headers.append(text)
+            if lowered == self._id_header:
+                self._stated_ids.append(text.strip())
         elif lowered in _FRAMING_HEADERS:
             self._has_framing_header = True
         elif lowered == b"keep-alive":
@@ -201,6 +210,8 @@
         if parser.get_http_version() not in ("1.0", "1.1"):
             self._is_invalid = True
         pending = self._pending
+        if pending is not None:
+            self._check_request_id(pending)
         if pending is not None and pending.is_head_request:
             # The parser does not know that a response to HEAD has no body and
             # would wait for Content-Length bytes.
@@ -209,16 +220,38 @@
         elif not self._has_framing_header and status not in _BODILESS_STATUSES:
             # Without a framing header a truncated body can't be distinguished
             # from a complete one.
-            self._is_close_delimited = self._rules.allows_close_delimited
+            self._is_close_delimited = (
+                self._rules.allows_close_delimited and not self._is_unidentified
+            )
             self._is_invalid = not self._is_close_delimited
 
+    def _check_request_id(self, pending: PendingRequest) -> None:
+        """Determines whether the response answers the request in flight.
+
+        A response without an id may be extra bytes after an earlier one. Only
+        a 503 without a body is accepted, which a server may send before it
+        reads the request.
+        """
+        expected_id = pending.expected_request_id
+        if not self._id_header or not expected_id:
+            return
+        if not self._stated_ids:
+            self._is_unidentified = True
+            self._is_invalid = (
+                self._is_invalid or self._status != _SERVICE_UNAVAILABLE
+            )
+        else:
+            self._is_for_other_request = any(
+                stated_id != expected_id for stated_id in self._stated_ids
+            )
+
     def on_body(self, part: bytes) -> None:
         """Stores a part of the body, up to the size limit."""
         if self._is_complete:
             self._has_extra_bytes = True
             return
         self._body_bytes += len(part)
-        if self._body_bytes > self._max_body_bytes:
+        if self._body_bytes > self._max_body_bytes or self._is_unidentified:
             self._is_invalid = True
         else:
             self._body_parts.append(part)
@@ -236,8 +269,7 @@
         self._complete_response()
 
     def _complete_response(self) -> None:
-        pending = self._pending
-        if pending is not None and self._is_for_other_request(pending):
+        if self._is_for_other_request:
             # Drops a response to an earlier request and waits for the expected
             # one, after which the connection is closed.
             self._pool.report_fault(ResponseFault.OTHER_REQUEST)
@@ -247,16 +279,6 @@
             return
         self._is_complete = True
 
-    def _is_for_other_request(self, pending: PendingRequest) -> bool:
-        """Returns whether the response states the id of another request."""
-        if not self._rules.request_id_header or not pending.expected_request_id:
-            return False
-        response = HttpResponse(self._status, self._headers, b"")
-        stated_id = response.header(self._rules.request_id_header)
-        return (
-            stated_id is not None and stated_id != pending.expected_request_id
-        )
-
     # End of a request.
 
     def _report_response(self) -> None:
@@ -266,10 +288,13 @@
         response = self._build_response()
         if self._has_extra_bytes:
             self._pool.report_fault(ResponseFault.EXTRA_BYTES)
-        id_header = self._rules.request_id_header
-        if id_header and response.header(id_header) is None:
+        if self._is_unidentified:
             self._pool.report_fault(ResponseFault.NO_REQUEST_ID)
-        if self._has_extra_bytes or self._dropped_other_response:
+        if (
+            self._has_extra_bytes
+            or self._dropped_other_response
+            or self._is_unidentified
+        ):
             self.abort()
         elif self._keep_alive:
             self._pool.connection_idle(self)
@@ -279,12 +304,19 @@
             pending.succeed(response)
 
     def _build_response(self) -> HttpResponse:
+        if self._is_unidentified:
+            # Its headers may describe another request.
+            return HttpResponse(self._status, [], b"")
         parts = self._body_parts
         body = parts[0] if len(parts) == 1 else b"".join(parts)
         return HttpResponse(self._status, self._headers, body)
 
     def _report_invalid(self) -> None:
-        self._pool.report_fault(ResponseFault.MALFORMED)
+        self._pool.report_fault(
+            ResponseFault.NO_REQUEST_ID
+            if self._is_unidentified
+            else ResponseFault.MALFORMED
+        )
         pending = self._pending
         self.abort()
         if pending is not None:
@@ -301,7 +333,7 @@
         if (
             self._is_close_delimited
             and reason.check(ConnectionDone)
-            and not self._is_for_other_request(pending)
+            and not self._is_for_other_request
         ):
             pending.succeed(self._build_response())
         else:
--- a/packages/transport/radishtray_transport/_http_exchange.py
+++ b/packages/transport/radishtray_transport/_http_exchange.py
@@ -38,7 +38,7 @@
     """The request was cancelled; its connection, if any, was closed."""
 
     INVALID_ANSWER = "invalid_answer"
-    """The response was malformed or exceeded a size limit."""
+    """The response was malformed, exceeded a limit or stated no request id."""
 
 
 class ResponseFault(Enum):
@@ -48,7 +48,7 @@
     """A complete response that states the id of another request."""
 
     NO_REQUEST_ID = "no_request_id"
-    """A complete response without the id that the server must repeat."""
+    """A response without the id that the server must repeat."""
 
     EXTRA_BYTES = "extra_bytes"
     """Bytes after a complete response."""
@@ -95,7 +95,9 @@
             Transfer-Encoding is complete when the server closes the
             connection without an error.
         request_id_header: Header in which the server repeats the request's id;
-            empty if it does not. A response with another id is dropped.
+            empty if it does not. A response with another id is dropped. One
+            without an id fails the request, except for a 503 without a body,
+            which is reported without its headers.
         idle_limit_s: Seconds after which an idle connection is not reused,
             unless the server's Keep-Alive header states a shorter time.
     """
@@ -128,8 +130,8 @@
 
     Attributes:
         data: The complete encoded request.
-        expected_request_id: Request id that the response must repeat, if it
-            states one; empty accepts any.
+        expected_request_id: Request id that the response must repeat if the
+            rules name a header for it; empty accepts any.
         is_head_request: Whether the method is HEAD, so that the response has
             no body.
     """
@@ -159,8 +161,8 @@
                 has no body.
             on_response: Called with the response, at most once.
             on_failure: Called instead if there is no response.
-            expected_request_id: Request id that the response must repeat, if
-                it states one; empty accepts any.
+            expected_request_id: Request id that the response must repeat if
+                the rules name a header for it; empty accepts any.
         """
         self.expected_request_id = expected_request_id
         self.data = data
--- a/packages/transport/radishtray_transport/tests/test_answer_rules.py
+++ b/packages/transport/radishtray_transport/tests/test_answer_rules.py
@@ -7,76 +7,14 @@
 from typing import Any
 
 import pytest
-from twisted.internet.protocol import Factory, Protocol
-
-from radishtray_testing.memory_network import MemoryNetwork
-from radishtray_transport import (
-    HttpClient,
-    RequestFailure,
-    ResponseFault,
-    ResponseRules,
-)
 
-RULES = ResponseRules(
-    allows_close_delimited=True, request_id_header="X-Id", idle_limit_s=5.0
+from radishtray_transport import RequestFailure, ResponseFault
+from radishtray_transport.tests.answer_builders import (
+    ClientServerPair,
+    build_response,
 )
-CONNECTION_LOST = RequestFailure.CONNECTION_LOST
 
-
-def build_response(
-    request_id: str, body: bytes, extra_headers: bytes = b""
-) -> bytes:
-    return (
-        b"HTTP/1.1 200 OK\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n"
-        % (request_id.encode(), extra_headers, len(body))
-    ) + body
-
-
-class StubServer(Protocol):
-    """Calls the test for each request."""
-
-    def connectionMade(self) -> None:
-        self.factory.opened_connections += 1
-
-    def dataReceived(self, data: bytes) -> None:
-        for _ in range(data.count(b"\r\n\r\n")):
-            self.factory.on_request(self.transport)
-
-
-class ClientServerPair:
-    """A client and a server whose responses are written by the test."""
-
-    def __init__(self) -> None:
-        """Starts the server and creates the client."""
-        self.network = MemoryNetwork()
-        self.factory = Factory.forProtocol(StubServer)
-        self.factory.opened_connections = 0
-        self.factory.on_request = lambda transport: None
-        port = self.network.listenTCP(0, self.factory).getHost().port
-        self.faults: list[ResponseFault] = []
-        self.client = HttpClient(
-            self.network,
-            "127.0.0.1",
-            port,
-            4,
-            rules=RULES,
-            on_fault=self.faults.append,
-        )
-        self.results: list[Any] = []
-
-    def send(self, request_id: str, handle_request: Any) -> None:
-        """Sends a request and runs the network for 0.5 s."""
-        self.factory.on_request = handle_request
-        self.client.request(
-            "GET",
-            "/",
-            [],
-            b"",
-            lambda response: self.results.append(response.body),
-            self.results.append,
-            expected_request_id=request_id,
-        )
-        self.network.run(0.5)
+CONNECTION_LOST = RequestFailure.CONNECTION_LOST
 
 
 # Name: bytes sent for request `2`, how the server then ends the connection,
