Reject a head that contains the start of another answer

What callers saw: a 500 with signature and body of a success, a 200 with another status line as signature, or a 503 with the body of a success.

Cause: if a late second answer is cut off in its reason phrase or in a header value, the status line of the answer that follows continues this text. The parser then reads one head: the status of the first answer with the id, the signature and the body of the second. The id matches.

A head whose reason phrase or header value contains a status line (HTTP/1.x and a status code) is now malformed. Names of headers and all other positions were rejected by the parser before. A mere `HTTP/1.1` in a value, as in Via, is accepted.

Setting the framing of an answer without a length also cleared an earlier finding that it is malformed, among them an unsupported HTTP version; a finding is not cleared any more.

--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -1,5 +1,6 @@
 """Client side of one keep-alive HTTP/1.1 connection."""
 
+import re
 from typing import Protocol as TypingProtocol
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
@@ -34,6 +35,8 @@
 _MAX_HEAD_BYTES = 65536
 _BODILESS_STATUSES = frozenset((204, 304))
 _SERVICE_UNAVAILABLE = 503
+_PROTOCOL_PREFIX = b"HTTP/1."
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 # A connection is not reused after this fraction of the idle timeout that the
 # server states. A request that is sent while the server closes the connection
 # has an unknown outcome.
@@ -68,6 +71,10 @@
         ...
 
 
+def _contains_status_line(text: bytes) -> bool:
+    return _PROTOCOL_PREFIX in text and _STATUS_LINE.search(text) is not None
+
+
 class HttpConnection(Protocol):
     """One keep-alive connection with at most one request in flight.
 
@@ -102,6 +109,7 @@
         self._partial_head_bytes = 0
         self._is_parsing_head = True
         self._has_framing_header = False
+        self._reason_phrase = b""
         self._keep_alive = True
         self._is_close_delimited = False
         self._stated_ids: list[str] = []
@@ -171,13 +179,23 @@
         else:
             self._reset_response()
 
+    def on_status(self, part: bytes) -> None:
+        """Stores a part of the reason phrase."""
+        if not self._is_complete:
+            self._reason_phrase += part
+
     def on_header(self, name: bytes, value: bytes | None) -> None:
         """Stores an end-to-end header; evaluates the hop-by-hop ones."""
         if self._is_complete:
             return
+        value = value or b""
+        # Otherwise the status or headers of a truncated head would be combined
+        # with the rest of the response that follows it.
+        if _contains_status_line(value):
+            self._is_invalid = True
         lowered = name.lower()
         if lowered not in _HOP_BY_HOP_HEADERS:
-            text = (value or b"").decode("latin-1")
+            text = value.decode("latin-1")
             self._headers.append(name.decode("latin-1"))
             self._headers.append(text)
             if lowered == self._id_header:
@@ -185,7 +203,7 @@
         elif lowered in _FRAMING_HEADERS:
             self._has_framing_header = True
         elif lowered == b"keep-alive":
-            self._apply_keep_alive_timeout(value or b"")
+            self._apply_keep_alive_timeout(value)
 
     def _apply_keep_alive_timeout(self, value: bytes) -> None:
         """Reduces the idle limit to the timeout of a Keep-Alive header.
@@ -205,6 +223,8 @@
             return
         self._is_parsing_head = False
         self._status = status = parser.get_status_code()
+        if _contains_status_line(self._reason_phrase):
+            self._is_invalid = True
         if status < 200:
             return
         if parser.get_http_version() not in ("1.0", "1.1"):
@@ -223,7 +243,8 @@
             self._is_close_delimited = (
                 self._rules.allows_close_delimited and not self._is_unidentified
             )
-            self._is_invalid = not self._is_close_delimited
+            if not self._is_close_delimited:
+                self._is_invalid = True
 
     def _check_request_id(self, pending: PendingRequest) -> None:
         """Determines whether the response answers the request in flight.
@@ -237,9 +258,8 @@
             return
         if not self._stated_ids:
             self._is_unidentified = True
-            self._is_invalid = (
-                self._is_invalid or self._status != _SERVICE_UNAVAILABLE
-            )
+            if self._status != _SERVICE_UNAVAILABLE:
+                self._is_invalid = True
         else:
             self._is_for_other_request = any(
                 stated_id != expected_id for stated_id in self._stated_ids
@@ -274,7 +294,8 @@
             # one, after which the connection is closed.
             self._pool.report_fault(ResponseFault.OTHER_REQUEST)
             self._dropped_other_response = True
-            self._is_invalid = not self._keep_alive
+            if not self._keep_alive:
+                self._is_invalid = True
             self._reset_response()
             return
         self._is_complete = True
--- a/packages/transport/radishtray_transport/tests/test_repeated_answers.py
+++ b/packages/transport/radishtray_transport/tests/test_repeated_answers.py
@@ -169,6 +169,22 @@
         )
 
 
+@pytest.mark.parametrize("closes", [False, True], ids=["keeps", "closes"])
+@pytest.mark.parametrize("name", SECOND_ANSWERS)
+def test_second_answer_cut_off_at_each_position(
+    name: str, closes: bool
+) -> None:
+    late = SECOND_ANSWERS[name]
+    for own in (
+        signed("2", "own-2"),
+        signed("2", "own-2", framing="chunks"),
+        signed("2", "own-2", framing="none"),
+    ):
+        for cut in range(len(late)):
+            for parts in ([late[:cut] + own], [late[:cut], own]):
+                check(AnsweringTwice().run(b"", b"", parts, closes), cut)
+
+
 # Name: bytes of an answer to request `2` that states no id, result.
 UNIDENTIFIED_ANSWERS = {
     "success": (signed(None, "x"), RequestFailure.INVALID_ANSWER),
