Do not report trailers as headers of the answer

What callers saw: header fields that stood behind the last chunk of an answer were passed on as its headers, so that an answer could have two signatures, or one that the upstream did not put into its head. If an answer is cut off in a trailer, these fields are the headers of the answer that follows.

Cause: the parser reports trailers through the same callback as headers. RFC 9110, section 6.5.1, forbids merging them unless the field's definition permits it. They are ignored now.

--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -185,8 +185,11 @@
             self._reason_phrase += part
 
     def on_header(self, name: bytes, value: bytes | None) -> None:
-        """Stores an end-to-end header; evaluates the hop-by-hop ones."""
-        if self._is_complete:
+        """Stores an end-to-end header; evaluates the hop-by-hop ones.
+
+        Trailers are ignored; they could replace the signature or the id.
+        """
+        if self._is_complete or not self._is_parsing_head:
             return
         value = value or b""
         # Otherwise the status or headers of a truncated head would be combined
--- a/packages/transport/radishtray_transport/tests/test_repeated_answers.py
+++ b/packages/transport/radishtray_transport/tests/test_repeated_answers.py
@@ -5,6 +5,7 @@
 failure, never the answer of another request or parts of two.
 """
 
+import random
 from typing import Any
 
 import pytest
@@ -16,6 +17,8 @@
 )
 
 _STEP_S = 0.02
+_SEED = 20261204
+_RANDOM_SEQUENCES = 400
 
 
 def signed(request_id: str, label: str, **options: Any) -> bytes:
@@ -64,6 +67,8 @@
     + signed("1", "late"),
     "empty_id": signed("", "late"),
     "two_ids": signed("1", "late", extra_headers=b"X-Id: 2\r\n"),
+    "id_as_trailer": signed(None, "late", framing="chunks")[:-2]
+    + b"X-Id: 2\r\n\r\n",
     "only_bytes": b"no answer at all\r\n\r\n",
     "empty_lines": b"\r\n\r\n",
 }
@@ -185,6 +190,42 @@
                 check(AnsweringTwice().run(b"", b"", parts, closes), cut)
 
 
+def test_random_sequences_of_second_answers() -> None:
+    rng = random.Random(_SEED)
+    for number in range(_RANDOM_SEQUENCES):
+        late = b""
+        for _ in range(rng.randint(1, 3)):
+            answer = SECOND_ANSWERS[rng.choice(sorted(SECOND_ANSWERS))]
+            late += answer[: rng.choice((len(answer), rng.randrange(99)))]
+        stream = late + signed("2", "own-2")
+        cuts = sorted(rng.choices(range(len(stream) + 1), k=3))
+        first, idle, *rest = cuts
+        parts = [stream[idle : rest[0]], stream[rest[0] :]]
+        with_first, while_idle = (
+            (stream[:first], stream[first:idle])
+            if rng.random() < 0.2
+            else (b"", b"")
+        )
+        if not with_first and not while_idle:
+            parts = [stream[: rest[0]], stream[rest[0] :]]
+        check(
+            AnsweringTwice().run(
+                with_first, while_idle, parts, rng.random() < 0.5
+            ),
+            (number, stream),
+        )
+
+
+def test_trailers_are_not_reported_as_headers() -> None:
+    answer = signed("2", "own-2", framing="chunks")[:-2]
+    answer += b"X-Signature: late\r\nX-Other: 1\r\n\r\n"
+    pair = ClientServerPair()
+    pair.send("2", lambda transport: transport.write(answer))
+    response = pair.responses[0]
+    assert isinstance(response, HttpResponse)
+    assert response.headers == ["X-Id", "2", "X-Signature", "own-2"]
+
+
 # Name: bytes of an answer to request `2` that states no id, result.
 UNIDENTIFIED_ANSWERS = {
     "success": (signed(None, "x"), RequestFailure.INVALID_ANSWER),
