Send a repeated request id on another connection

A late refusal would state that the second send has not run while it runs.

Cause: the id identifies a request, not a send, so it can't tell the two apart. The node excludes the node that it has tried, so this needs an entry that sends an id again after all nodes were tried, or a caller that repeats its id.

A connection remembers the last 64 ids. A request whose id it has sent closes the connection, if idle, and goes to another one; so does a queued request.

--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -41,7 +41,8 @@
     """A client for one address with a pool of keep-alive connections.
 
     Requests are queued while all connections are in use. The most recently
-    used idle connection is reused first.
+    used idle connection is reused first, but not for a request whose id it has
+    already sent.
 
     Attributes:
         max_body_bytes: Maximum size of a response body.
@@ -142,7 +143,9 @@
         pending = PendingRequest(
             data, method == "HEAD", on_response, on_failure, expected_request_id
         )
-        connection = None if self._is_closed else self._pop_idle_connection()
+        connection = (
+            None if self._is_closed else self._pop_idle_connection(pending)
+        )
         if self._is_closed:
             pending.fail(RequestFailure.NOT_CONNECTED)
         elif connection is not None:
@@ -152,21 +155,27 @@
             self._start_connecting()
         return pending
 
-    def _pop_idle_connection(self) -> HttpConnection | None:
-        """Returns the most recently used idle connection, if it is reusable.
+    def _pop_idle_connection(
+        self, pending: PendingRequest
+    ) -> HttpConnection | None:
+        """Returns the most recently used idle connection that is reusable.
 
-        If it exceeds its idle limit, all idle connections are closed.
+        If it exceeds its idle limit, all idle connections are closed. One that
+        has already sent the id of the request is closed as well.
         """
-        if not self._idle_connections:
-            return None
         now_s = self._reactor.seconds()
-        last_used = self._idle_connections[-1]
-        if now_s - last_used.idle_since_s <= last_used.idle_limit_s:
-            return self._idle_connections.pop()
-        # All other connections have been idle for longer.
-        for connection in list(self._idle_connections):
-            connection.transport.loseConnection()
-        self._idle_connections.clear()
+        while self._idle_connections:
+            last_used = self._idle_connections[-1]
+            if now_s - last_used.idle_since_s > last_used.idle_limit_s:
+                # All other connections have been idle for longer.
+                for connection in list(self._idle_connections):
+                    connection.transport.loseConnection()
+                self._idle_connections.clear()
+                return None
+            self._idle_connections.pop()
+            if not last_used.has_sent(pending):
+                return last_used
+            last_used.transport.loseConnection()
         return None
 
     def close(self) -> None:
@@ -220,7 +229,11 @@
     def connection_idle(self, connection: HttpConnection) -> None:
         """Sends the next queued request, or keeps the connection idle."""
         pending = self._pop_queued_request()
-        if pending is not None:
+        if pending is not None and connection.has_sent(pending):
+            # The queued request is sent on the connection that replaces it.
+            self._queued_requests.insert(0, pending)
+            connection.transport.loseConnection()
+        elif pending is not None:
             connection.send(pending)
         elif self._is_closed:
             connection.transport.loseConnection()
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -37,6 +37,8 @@
 _SERVICE_UNAVAILABLE = 503
 _PROTOCOL_PREFIX = b"HTTP/1."
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
+# Request ids that a connection remembers, the newest ones.
+_MAX_REMEMBERED_IDS = 64
 # A connection is not reused after this fraction of the idle timeout that the
 # server states. A request that is sent while the server closes the connection
 # has an unknown outcome.
@@ -93,6 +95,8 @@
         self._max_body_bytes = pool.max_body_bytes
         self._parser: HttpResponseParser | None = HttpResponseParser(self)
         self._pending: PendingRequest | None = None
+        # Keys are the ids of the newest requests; a dict keeps their order.
+        self._sent_ids: dict[str, None] = {}
         # Whether a response to another request was received and dropped.
         self._dropped_other_response = False
         # Whether the response is malformed or exceeds a limit.
@@ -121,6 +125,13 @@
         """Idle seconds after which the connection is not reused."""
         return self._idle_limit_s
 
+    def has_sent(self, pending: PendingRequest) -> bool:
+        """Returns whether a recent request on this connection had this id.
+
+        A second response to that request would pass as one to `pending`.
+        """
+        return pending.expected_request_id in self._sent_ids
+
     def connectionMade(self) -> None:
         """Prepares the transport and adds the connection to its pool."""
         self.transport.setTcpNoDelay(True)
@@ -133,8 +144,16 @@
         self._reset_response()
         self._pending = pending
         pending.attach(self)
+        self._remember_id(pending.expected_request_id)
         self._writer.write(pending.data)
 
+    def _remember_id(self, request_id: str) -> None:
+        if not request_id:
+            return
+        self._sent_ids[request_id] = None
+        if len(self._sent_ids) > _MAX_REMEMBERED_IDS:
+            del self._sent_ids[next(iter(self._sent_ids))]
+
     def abort(self) -> None:
         """Closes the connection without waiting for a response."""
         self._pending = None
--- a/packages/transport/radishtray_transport/tests/answer_builders.py
+++ b/packages/transport/radishtray_transport/tests/answer_builders.py
@@ -68,8 +68,13 @@
         faults: Faults that the client has reported.
     """
 
-    def __init__(self, **client_options: Any) -> None:
-        """Starts the server and creates the client."""
+    def __init__(self, max_connections: int = 4, **options: Any) -> None:
+        """Starts the server and creates the client.
+
+        Args:
+            max_connections: Maximum number of connections of the client.
+            **options: Further arguments of the client.
+        """
         self.network = MemoryNetwork()
         self.factory = Factory.forProtocol(StubServer)
         self.factory.opened_connections = 0
@@ -80,10 +85,10 @@
             self.network,
             "127.0.0.1",
             self.port,
-            4,
+            max_connections,
             rules=RULES,
             on_fault=self.faults.append,
-            **client_options,
+            **options,
         )
         self.results: list[bytes | RequestFailure] = []
         self.responses: list[HttpResponse | RequestFailure] = []
--- a/packages/transport/radishtray_transport/tests/test_repeated_answers.py
+++ b/packages/transport/radishtray_transport/tests/test_repeated_answers.py
@@ -190,6 +190,32 @@
                 check(AnsweringTwice().run(b"", b"", parts, closes), cut)
 
 
+def test_second_answer_is_not_taken_for_a_repeat_of_the_request() -> None:
+    late = signed("1", "late", status=FAILED)
+    for cut in range(len(late) + 1):
+        parts = [late[:cut], late[cut:] + signed("1", "own-2")]
+        check(AnsweringTwice().run(b"", b"", parts, second_id="1"), cut)
+
+
+def test_queued_repeat_is_sent_on_another_connection() -> None:
+    pair = ClientServerPair(max_connections=1)
+    late = signed("1", "late", status=FAILED)
+    transports: list[Any] = []
+
+    def answer(transport: Any) -> None:
+        transports.append(transport)
+        data = signed("1", f"own-{len(transports)}")
+        pair.network.callLater(_STEP_S, transport.write, data)
+        pair.network.callLater(2 * _STEP_S, transport.write, late)
+
+    pair.send("1", answer, 0)
+    pair.send("1", answer, 10 * _STEP_S)
+    assert [summary(response) for response in pair.responses] == OWN_ANSWERS[
+        1:3
+    ]
+    assert transports[0] is not transports[1]
+
+
 def test_random_sequences_of_second_answers() -> None:
     rng = random.Random(_SEED)
     for number in range(_RANDOM_SEQUENCES):
