Reject a body that contains the head of another answer

What callers saw (in the test): an answer whose body ended with status line, headers and body of a second answer, as a complete 200 with its signature.

Cause: if an upstream cuts off an answer with a length but keeps the connection, a second answer fills up the body. An answer without a length ends with the connection, so a second answer before the close becomes a part of it. HTTP gives no means to find the end in either case.

A body that contains a status line and below it, within the same head, the header of the request id is now malformed. Bodies that only quote HTTP are accepted. The check is linear in the body and is only made if the body contains `HTTP/1.`.

Not detected: an answer that lacks fewer bytes than the second answer needs up to the name of its id header, or extra bytes that are no answer. Only the caller, who can verify the signature, can tell these from a complete body.

--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -77,6 +77,19 @@
     return _PROTOCOL_PREFIX in text and _STATUS_LINE.search(text) is not None
 
 
+def _contains_response_head(body: bytes, id_header: bytes) -> bool:
+    """Returns whether a body contains a status line and, below it, an id."""
+    if _PROTOCOL_PREFIX not in body:
+        return False
+    for block in body.split(b"\r\n\r\n"):
+        match = _STATUS_LINE.search(block)
+        if match is None:
+            continue
+        if b"\r\n%s:" % id_header in block[match.end() :].lower():
+            return True
+    return False
+
+
 class HttpConnection(Protocol):
     """One keep-alive connection with at most one request in flight.
 
@@ -181,6 +194,8 @@
             self._partial_head_bytes += len(data)
             if self._partial_head_bytes > _MAX_HEAD_BYTES:
                 self._is_invalid = True
+        if self._is_complete and self._embeds_other_response():
+            self._is_invalid = True
         # The response is reported only after all received bytes were parsed.
         # If the connection were reused earlier, extra bytes after the response
         # would be read as the response to the next request.
@@ -322,6 +337,20 @@
             return
         self._is_complete = True
 
+    def _embeds_other_response(self) -> bool:
+        """Returns whether the body contains the head of another response.
+
+        The body was then truncated, or its end was not detected, before the
+        server sent the other response.
+        """
+        return bool(self._id_header) and _contains_response_head(
+            self._body(), self._id_header
+        )
+
+    def _body(self) -> bytes:
+        parts = self._body_parts
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
     # End of a request.
 
     def _report_response(self) -> None:
@@ -350,9 +379,7 @@
         if self._is_unidentified:
             # Its headers may describe another request.
             return HttpResponse(self._status, [], b"")
-        parts = self._body_parts
-        body = parts[0] if len(parts) == 1 else b"".join(parts)
-        return HttpResponse(self._status, self._headers, body)
+        return HttpResponse(self._status, self._headers, self._body())
 
     def _report_invalid(self) -> None:
         self._pool.report_fault(
@@ -374,10 +401,13 @@
         if pending is None:
             return
         if (
-            self._is_close_delimited
-            and reason.check(ConnectionDone)
-            and not self._is_for_other_request
+            not self._is_close_delimited
+            or not reason.check(ConnectionDone)
+            or self._is_for_other_request
         ):
-            pending.succeed(self._build_response())
-        else:
             pending.fail(RequestFailure.CONNECTION_LOST)
+        elif self._embeds_other_response():
+            self._pool.report_fault(ResponseFault.MALFORMED)
+            pending.fail(RequestFailure.INVALID_ANSWER)
+        else:
+            pending.succeed(self._build_response())
