Bound the bytes other than bodies that an upstream may send for a request

What callers saw: with an upstream that sent such bytes, a request held its connection and its slot until its deadline, while the node went on parsing.

Cause: only a head that was incomplete at the end of a read was counted. Each interim answer and each answer to another request started the count anew, and chunk sizes with leading zeros, chunk extensions and trailers were not counted at all.

One budget for each request, checked in dataReceived: 64 KiB for all bytes that are no body (heads of interim, other and own answers, chunk framing, trailers, empty lines), and 16 bytes more for each part of a body, so that a body may come in chunks of one byte. Bodies of answers to other requests are not stored any more and share one limit, that of an answer's body. When a limit is exceeded, the request fails and the connection is closed.

Evidence: 27 endless answers in reads of 700 and 16,384 bytes. Before, the client took all of the 4,000,000 bytes that the test sends in 22 of these cases; now it closes within the stated bound, at most two reads above it. A later request is answered on a new connection. The longest body is accepted with a length, in chunks, in chunks of one byte, without a length, after an other answer of the same size and after 100 interim answers.

Ruled out (bounded before): endless status lines, header lines and header names, bodies beyond the limit, bytes that are no answer, bytes behind a complete answer and on an idle connection, which is closed at the first read.

--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -32,7 +32,11 @@
     )
 )
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
-_MAX_HEAD_BYTES = 65536
+# Bytes that a server may send for one request in addition to bodies: heads of
+# interim, other and final responses, chunk framing and trailers.
+_MAX_OVERHEAD_BYTES = 65536
+# Added to the overhead for each part of a body, for its chunk framing.
+_MAX_FRAMING_BYTES = 16
 _BODILESS_STATUSES = frozenset((204, 304))
 _SERVICE_UNAVAILABLE = 503
 _PROTOCOL_PREFIX = b"HTTP/1."
@@ -116,6 +120,10 @@
         self._is_invalid = False
         self._is_complete = False
         self._has_extra_bytes = False
+        # Bytes other than bodies that the server may still send.
+        self._overhead_left = 0
+        # Bodies of responses to other requests.
+        self._dropped_body_bytes = 0
         self._reset_response()
 
     def _reset_response(self) -> None:
@@ -123,7 +131,6 @@
         self._headers: HeaderList = []
         self._body_parts: list[bytes] = []
         self._body_bytes = 0
-        self._partial_head_bytes = 0
         self._is_parsing_head = True
         self._has_framing_header = False
         self._reason_phrase = b""
@@ -154,6 +161,8 @@
     def send(self, pending: PendingRequest) -> None:
         """Sends a request; the connection must be idle."""
         self._is_complete = False
+        self._overhead_left = _MAX_OVERHEAD_BYTES
+        self._dropped_body_bytes = 0
         self._reset_response()
         self._pending = pending
         pending.attach(self)
@@ -182,7 +191,7 @@
                 self._pool.report_fault(ResponseFault.UNSOLICITED_BYTES)
             self.abort()
             return
-        was_parsing_head = self._is_parsing_head
+        self._overhead_left -= len(data)
         try:
             parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
@@ -190,11 +199,10 @@
             # does not make the response invalid.
             self._has_extra_bytes = True
             self._is_invalid = self._is_invalid or not self._is_complete
-        if was_parsing_head and self._is_parsing_head:
-            self._partial_head_bytes += len(data)
-            if self._partial_head_bytes > _MAX_HEAD_BYTES:
+        if self._is_complete:
+            if self._embeds_other_response():
                 self._is_invalid = True
-        if self._is_complete and self._embeds_other_response():
+        elif self._overhead_left < 0:
             self._is_invalid = True
         # The response is reported only after all received bytes were parsed.
         # If the connection were reused earlier, extra bytes after the response
@@ -303,11 +311,21 @@
             )
 
     def on_body(self, part: bytes) -> None:
-        """Stores a part of the body, up to the size limit."""
+        """Stores a part of the body, up to the size limit.
+
+        The limit applies to all responses to other requests together.
+        """
         if self._is_complete:
             self._has_extra_bytes = True
             return
-        self._body_bytes += len(part)
+        size = len(part)
+        self._overhead_left += size + _MAX_FRAMING_BYTES
+        if self._is_for_other_request:
+            self._dropped_body_bytes += size
+            if self._dropped_body_bytes > self._max_body_bytes:
+                self._is_invalid = True
+            return
+        self._body_bytes += size
         if self._body_bytes > self._max_body_bytes or self._is_unidentified:
             self._is_invalid = True
         else:
