Bound the memory for many headers and for a body in small parts

What was seen in the tests: an answer of chunks of two bytes took 2.1 MB on a connection whose limit for bodies is 100 kB (chunks of one byte: 0.8 MB), and a head of 64 KiB in short lines 0.7 MB.

Cause: each part of a body and each header was an object of its own in a list.

A body is collected in one buffer; one that arrives in a single part is still passed on without a copy. An answer may have 500 headers.

--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -37,6 +37,7 @@
 _MAX_OVERHEAD_BYTES = 65536
 # Added to the overhead for each part of a body, for its chunk framing.
 _MAX_FRAMING_BYTES = 16
+_MAX_HEADERS = 500
 _BODILESS_STATUSES = frozenset((204, 304))
 _SERVICE_UNAVAILABLE = 503
 _PROTOCOL_PREFIX = b"HTTP/1."
@@ -129,7 +130,9 @@
     def _reset_response(self) -> None:
         self._status = 0
         self._headers: HeaderList = []
-        self._body_parts: list[bytes] = []
+        # Most bodies arrive in one part, which is then not copied.
+        self._first_body_part = b""
+        self._other_body_parts = bytearray()
         self._body_bytes = 0
         self._is_parsing_head = True
         self._has_framing_header = False
@@ -240,6 +243,9 @@
             self._is_invalid = True
         lowered = name.lower()
         if lowered not in _HOP_BY_HOP_HEADERS:
+            if len(self._headers) >= 2 * _MAX_HEADERS:
+                self._is_invalid = True
+                return
             text = value.decode("latin-1")
             self._headers.append(name.decode("latin-1"))
             self._headers.append(text)
@@ -328,8 +334,10 @@
         self._body_bytes += size
         if self._body_bytes > self._max_body_bytes or self._is_unidentified:
             self._is_invalid = True
+        elif not self._first_body_part:
+            self._first_body_part = part
         else:
-            self._body_parts.append(part)
+            self._other_body_parts += part
 
     def on_message_complete(self) -> None:
         """Completes the response, or discards an interim (1xx) one."""
@@ -366,8 +374,10 @@
         )
 
     def _body(self) -> bytes:
-        parts = self._body_parts
-        return parts[0] if len(parts) == 1 else b"".join(parts)
+        if self._other_body_parts:
+            self._first_body_part += self._other_body_parts
+            self._other_body_parts = bytearray()
+        return self._first_body_part
 
     # End of a request.
 
--- a/packages/transport/radishtray_transport/tests/test_endless_answers.py
+++ b/packages/transport/radishtray_transport/tests/test_endless_answers.py
@@ -1,9 +1,10 @@
 """Tests a client of an upstream that sends bytes without end.
 
-The connection must be closed after a bounded number of bytes, and a later
-request must get its answer on another connection.
+The connection must be closed after a bounded number of bytes, with bounded
+memory, and a later request must get its answer on another connection.
 """
 
+import sys
 from typing import Any
 
 import pytest
@@ -17,6 +18,8 @@
 _MAX_BODY_BYTES = 100_000
 _OVERHEAD_BYTES = 65_536
 _PAUSE_S = 0.005
+# The size of the connection is measured whenever so many bytes were sent.
+_MEASURED_BYTES = 16_384
 # The upstream gives up here, so that a client without a bound ends the test.
 _SENT_BYTES = 4_000_000
 
@@ -26,11 +29,26 @@
 INVALID = RequestFailure.INVALID_ANSWER
 
 
+def held_bytes(value: Any, seen: set[int] | None = None) -> int:
+    """Returns the size of a value with the texts and containers in it."""
+    seen = set() if seen is None else seen
+    if id(value) in seen:
+        return 0
+    seen.add(id(value))
+    size = sys.getsizeof(value)
+    if isinstance(value, dict):
+        value = list(value.values())
+    if isinstance(value, list | tuple):
+        size += sum(held_bytes(item, seen) for item in value)
+    return size
+
+
 class EndlessServer:
     """Answers request `2` with bytes that are repeated without end.
 
     Attributes:
         accepted_bytes: Bytes sent before the client closed the connection.
+        most_held_bytes: Largest size of the client's connection state.
         was_closed: Whether the client has closed the connection.
     """
 
@@ -44,6 +62,7 @@
         """
         self.pair = ClientServerPair(max_body_bytes=_MAX_BODY_BYTES)
         self.accepted_bytes = 0
+        self.most_held_bytes = 0
         self.was_closed = False
         self._unit = unit
         self._read_bytes = read_bytes
@@ -78,8 +97,19 @@
         self._unsent = self._unsent[self._read_bytes :]
         transport.write(data)
         self.accepted_bytes += len(data)
+        if self.accepted_bytes % _MEASURED_BYTES < self._read_bytes:
+            self._note_size()
         self.pair.network.callLater(_PAUSE_S, self._send, transport)
 
+    def _note_size(self) -> None:
+        for client_end, _ in self.pair.network.connections[self.pair.port]:
+            state = {
+                name: value
+                for name, value in vars(client_end.protocol).items()
+                if isinstance(value, bytes | bytearray | str | list | dict)
+            }
+            self.most_held_bytes = max(self.most_held_bytes, held_bytes(state))
+
 
 # Name: bytes sent once, bytes repeated, maximum number of bytes accepted.
 ENDLESS_ANSWERS = {
@@ -174,6 +204,7 @@
     assert server.was_closed
     assert server.pair.results == [INVALID, b"third"]
     assert server.pair.factory.opened_connections == 2
+    assert server.most_held_bytes < 2 * (_OVERHEAD_BYTES + _MAX_BODY_BYTES)
 
 
 # Name: bytes sent once, bytes repeated.
@@ -248,3 +279,16 @@
     pair = ClientServerPair(max_body_bytes=_MAX_BODY_BYTES)
     pair.send("2", lambda transport: transport.write(stream))
     assert pair.results == [body]
+
+
+# Name: number of headers of the answer besides its id, expected result.
+HEADER_COUNTS = {"most": (499, b"own"), "too_many": (500, INVALID)}
+
+
+@pytest.mark.parametrize("name", HEADER_COUNTS)
+def test_number_of_headers_is_limited(name: str) -> None:
+    count, expected = HEADER_COUNTS[name]
+    answer = build_response("2", b"own", b"X-A: value\r\n" * count)
+    pair = ClientServerPair()
+    pair.send("2", lambda transport: transport.write(answer))
+    assert pair.results == [expected]
