Release the last answer of an idle connection to an upstream

What was seen in a test: an idle connection kept headers and body of its last answer until its next request, 112 kB after an answer of 100 kB. With bodies of up to 2 MiB and a connection for each slot this is memory that a node holds for requests that have ended.

The state is cleared when the answer is reported, instead of when the next request is sent and once more when its answer begins.

--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -166,7 +166,6 @@
         self._is_complete = False
         self._overhead_left = _MAX_OVERHEAD_BYTES
         self._dropped_body_bytes = 0
-        self._reset_response()
         self._pending = pending
         pending.attach(self)
         self._remember_id(pending.expected_request_id)
@@ -218,11 +217,9 @@
     # Callbacks of the httptools parser.
 
     def on_message_begin(self) -> None:
-        """Starts a response, or records that extra bytes follow it."""
+        """Records that extra bytes follow a complete response."""
         if self._is_complete:
             self._has_extra_bytes = True
-        else:
-            self._reset_response()
 
     def on_status(self, part: bytes) -> None:
         """Stores a part of the reason phrase."""
@@ -386,17 +383,21 @@
         pending = self._pending
         self._pending = None
         response = self._build_response()
+        is_unidentified = self._is_unidentified
+        keep_alive = self._keep_alive
+        # An idle connection must not hold its last response.
+        self._reset_response()
         if self._has_extra_bytes:
             self._pool.report_fault(ResponseFault.EXTRA_BYTES)
-        if self._is_unidentified:
+        if is_unidentified:
             self._pool.report_fault(ResponseFault.NO_REQUEST_ID)
         if (
             self._has_extra_bytes
             or self._dropped_other_response
-            or self._is_unidentified
+            or is_unidentified
         ):
             self.abort()
-        elif self._keep_alive:
+        elif keep_alive:
             self._pool.connection_idle(self)
         else:
             self.transport.loseConnection()
--- a/packages/transport/radishtray_transport/tests/test_endless_answers.py
+++ b/packages/transport/radishtray_transport/tests/test_endless_answers.py
@@ -292,3 +292,20 @@
     pair = ClientServerPair()
     pair.send("2", lambda transport: transport.write(answer))
     assert pair.results == [expected]
+
+
+# Name: framing of the answer.
+KEPT_CONNECTIONS = {"length": "length", "chunks": "chunks"}
+
+
+@pytest.mark.parametrize("name", KEPT_CONNECTIONS)
+def test_idle_connection_holds_no_answer(name: str) -> None:
+    framing = KEPT_CONNECTIONS[name]
+    headers = b"Y: %s\r\n" % (b"y" * 9000)
+    body = b"x" * _MAX_BODY_BYTES
+    answer = build_response("2", body, headers, framing=framing)
+    pair = ClientServerPair(max_body_bytes=_MAX_BODY_BYTES)
+    pair.send("2", lambda transport: transport.write(answer))
+    assert pair.results == [body]
+    connection = pair.network.connections[pair.port][0][0].protocol
+    assert held_bytes(vars(connection)) < 5000
