Reduce the cost of the checks of an answer

Ids are compared without a list, and regular expressions only run where `HTTP/1.` occurs. An id that is stated twice without a difference counts once, as before; test_answer_rules.py has cases for it.

--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -78,14 +78,8 @@
         ...
 
 
-def _contains_status_line(text: bytes) -> bool:
-    return _PROTOCOL_PREFIX in text and _STATUS_LINE.search(text) is not None
-
-
 def _contains_response_head(body: bytes, id_header: bytes) -> bool:
     """Returns whether a body contains a status line and, below it, an id."""
-    if _PROTOCOL_PREFIX not in body:
-        return False
     for block in body.split(b"\r\n\r\n"):
         match = _STATUS_LINE.search(block)
         if match is None:
@@ -139,7 +133,8 @@
         self._reason_phrase = b""
         self._keep_alive = True
         self._is_close_delimited = False
-        self._stated_ids: list[str] = []
+        self._stated_id: str | None = None
+        self._has_two_ids = False
         self._is_for_other_request = False
         self._is_unidentified = False
 
@@ -236,7 +231,7 @@
         value = value or b""
         # Otherwise the status or headers of a truncated head would be combined
         # with the rest of the response that follows it.
-        if _contains_status_line(value):
+        if _PROTOCOL_PREFIX in value and _STATUS_LINE.search(value):
             self._is_invalid = True
         lowered = name.lower()
         if lowered not in _HOP_BY_HOP_HEADERS:
@@ -247,12 +242,18 @@
             self._headers.append(name.decode("latin-1"))
             self._headers.append(text)
             if lowered == self._id_header:
-                self._stated_ids.append(text.strip())
+                self._store_id(text.strip())
         elif lowered in _FRAMING_HEADERS:
             self._has_framing_header = True
         elif lowered == b"keep-alive":
             self._apply_keep_alive_timeout(value)
 
+    def _store_id(self, stated_id: str) -> None:
+        if self._stated_id is None:
+            self._stated_id = stated_id
+        elif self._stated_id != stated_id:
+            self._has_two_ids = True
+
     def _apply_keep_alive_timeout(self, value: bytes) -> None:
         """Reduces the idle limit to the timeout of a Keep-Alive header.
 
@@ -271,7 +272,8 @@
             return
         self._is_parsing_head = False
         self._status = status = parser.get_status_code()
-        if _contains_status_line(self._reason_phrase):
+        reason = self._reason_phrase
+        if _PROTOCOL_PREFIX in reason and _STATUS_LINE.search(reason):
             self._is_invalid = True
         if status < 200:
             return
@@ -304,13 +306,13 @@
         expected_id = pending.expected_request_id
         if not self._id_header or not expected_id:
             return
-        if not self._stated_ids:
+        if self._stated_id is None:
             self._is_unidentified = True
             if self._status != _SERVICE_UNAVAILABLE:
                 self._is_invalid = True
         else:
-            self._is_for_other_request = any(
-                stated_id != expected_id for stated_id in self._stated_ids
+            self._is_for_other_request = (
+                self._has_two_ids or self._stated_id != expected_id
             )
 
     def on_body(self, part: bytes) -> None:
@@ -366,8 +368,11 @@
         The body was then truncated, or its end was not detected, before the
         server sent the other response.
         """
-        return bool(self._id_header) and _contains_response_head(
-            self._body(), self._id_header
+        body = self._body()
+        return (
+            _PROTOCOL_PREFIX in body
+            and bool(self._id_header)
+            and _contains_response_head(body, self._id_header)
         )
 
     def _body(self) -> bytes:
--- a/packages/transport/radishtray_transport/tests/test_answer_rules.py
+++ b/packages/transport/radishtray_transport/tests/test_answer_rules.py
@@ -41,6 +41,21 @@
         None,
         b"own",
     ),
+    "id_twice": (
+        build_response("2", b"own", b"X-Id: 2\r\n"),
+        None,
+        b"own",
+    ),
+    "id_with_spaces": (
+        build_response(" 2 \t", b"own"),
+        None,
+        b"own",
+    ),
+    "two_ids": (
+        build_response("2", b"own", b"X-Id: 1\r\n"),
+        "close",
+        CONNECTION_LOST,
+    ),
     "close_delimited": (
         b"HTTP/1.1 200 OK\r\nX-Id: 2\r\n\r\nall",
         "close",
