Do not close a connection for a request that has ended

What would be seen: a request that got no answer and no failure, if an earlier request of the same connection was cancelled after its answer.

Cause: cancel closed the connection that the request had been sent on, also when the request was settled and the connection carried the next one, which was then dropped without a failure. The platform client may cancel its last attempt after that was answered, and a run that waits for a probe may be cancelled.

Evidence: test_cancelling_an_ended_request_keeps_the_next_one failed before; 473 tests of transport and node pass.

--- a/packages/transport/radishtray_transport/_http_exchange.py
+++ b/packages/transport/radishtray_transport/_http_exchange.py
@@ -203,8 +203,11 @@
         """Settles as cancelled and closes the connection.
 
         Closing keeps a late response from reaching the connection's next
-        request.
+        request. Has no effect on a settled request, whose connection may carry
+        another one.
         """
+        if self.is_settled:
+            return
         connection = self._connection
         self.fail(RequestFailure.CANCELLED)
         if connection is not None:
--- a/packages/transport/radishtray_transport/tests/test_repeated_answers.py
+++ b/packages/transport/radishtray_transport/tests/test_repeated_answers.py
@@ -357,3 +357,18 @@
     assert isinstance(response, RequestFailure) or not response.headers
     assert pair.faults == [ResponseFault.NO_REQUEST_ID]
     assert pair.factory.opened_connections == 2
+
+
+def test_cancelling_an_ended_request_keeps_the_next_one() -> None:
+    pair = ClientServerPair()
+    own = signed("2", "own-2")
+    first = pair.send("1", lambda transport: transport.write(signed("1", "x")))
+    pair.send(
+        "2",
+        lambda transport: pair.network.callLater(0.1, transport.write, own),
+        0.05,
+    )
+    first.cancel()
+    pair.network.run(0.2)
+    assert summary(pair.responses[-1]) == OWN_ANSWERS[2]
+    assert pair.factory.opened_connections == 1
