Do not add trailers to the headers of a request

What an upstream would see: a field that a caller had sent behind the last chunk as a header of the request, such as an id or a deadline that the head did not have.

Trailers still count toward the limits of the head (cases trailers_too_long and too_many_trailers passed before and after).

Evidence: test_trailers_are_no_headers_of_the_request failed before. Chunk sizes, chunk extensions and trailers without end in slow parts end with 408 as other slow requests do (new cases, passed before).

--- a/packages/transport/radishtray_transport/_http_channel.py
+++ b/packages/transport/radishtray_transport/_http_channel.py
@@ -128,14 +128,21 @@
                 self._reject(_HEAD_TOO_LARGE, "head_too_large")
 
     def on_header(self, name: bytes, value: bytes | None) -> None:
-        """Adds a header; rejects the request above the head limits."""
+        """Adds a header; rejects the request above the head limits.
+
+        Trailers count toward the limits but are not added to the request.
+        """
         request = self._incoming_request
         if request is None:
             return
-        request.add_header(name, value or b"")
+        if self._is_parsing_head:
+            request.add_header(name, value or b"")
+        else:
+            request.count_trailer(name, value or b"")
         if (
             request.head_bytes > self.limits.head_bytes
-            or len(request.headers) > self.limits.headers
+            or len(request.headers) + request.trailer_count
+            > self.limits.headers
         ):
             self._reject(_HEAD_TOO_LARGE, "head_too_large")
 
--- a/packages/transport/radishtray_transport/_http_request.py
+++ b/packages/transport/radishtray_transport/_http_request.py
@@ -78,7 +78,9 @@
             and its value.
         body: The complete body.
         on_disconnect: Called if the client disconnects before the response.
-        head_bytes: Size of the request target and headers received so far.
+        head_bytes: Size of the request target, headers and trailers received
+            so far.
+        trailer_count: Number of trailers, which are not part of `headers`.
         is_persistent: Whether the connection stays open after the response.
         is_too_large: Whether the body exceeds the limit.
     """
@@ -94,6 +96,7 @@
         "is_too_large",
         "method",
         "on_disconnect",
+        "trailer_count",
         "uri",
     )
 
@@ -106,6 +109,7 @@
         self.body = b""
         self.on_disconnect: Callable[[], None] | None = None
         self.head_bytes = 0
+        self.trailer_count = 0
         self.is_persistent = True
         self.is_too_large = False
         self._first_values: dict[bytes, bytes] = {}
@@ -118,6 +122,11 @@
         self._first_values.setdefault(lowered, value)
         self.head_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
 
+    def count_trailer(self, name: bytes, value: bytes) -> None:
+        """Counts a trailer toward the size of the head."""
+        self.trailer_count += 1
+        self.head_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
+
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header; names are case-insensitive."""
         return self._first_values.get(name.lower())
--- a/packages/transport/radishtray_transport/tests/test_http_server.py
+++ b/packages/transport/radishtray_transport/tests/test_http_server.py
@@ -106,6 +106,24 @@
         [],
         True,
     ),
+    "trailers": (
+        CHUNKED_HEAD + b"0\r\n" + b"t: v\r\n" * 19 + b"\r\n" + GET_REQUEST,
+        [200, 200],
+        [],
+        True,
+    ),
+    "trailers_too_long": (
+        CHUNKED_HEAD + b"0\r\n" + (b"t: " + b"v" * 9_000 + b"\r\n") * 4,
+        [431],
+        ["head_too_large"],
+        False,
+    ),
+    "too_many_trailers": (
+        CHUNKED_HEAD + b"0\r\n" + b"t: v\r\n" * 21 + b"\r\n",
+        [431],
+        ["head_too_large"],
+        False,
+    ),
     "http_1_0": (b"GET / HTTP/1.0\r\n\r\n", [200], [], False),
     "connection_close": (
         b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n" + GET_REQUEST,
@@ -226,6 +244,9 @@
     "head": (b"GET / HTTP/1.1\r\n", b"a: b\r\n", b"c: d\r\n"),
     "body": (b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n", b"a", b"b"),
     "second_request": (GET_REQUEST + b"GET /", b"a"),
+    "chunk_size": (CHUNKED_HEAD, b"0" * 5_000, b"0" * 5_000),
+    "chunk_extension": (CHUNKED_HEAD + b"1;", b"x" * 5_000, b"x" * 5_000),
+    "trailers": (CHUNKED_HEAD + b"0\r\n", b"t: v\r\n", b"t: v\r\n"),
 }
 
 
@@ -241,6 +262,15 @@
     assert harness.server.connection_count == 0
 
 
+def test_trailers_are_no_headers_of_the_request() -> None:
+    harness = ServerHarness()
+    harness.holds_requests = True
+    harness.send(CHUNKED_HEAD + b"1\r\nx\r\n0\r\nX-Trailer: 1\r\n\r\n")
+    (request,) = harness.held_requests
+    assert request.body == b"x"
+    assert [name for name, _, _ in request.headers] == [b"transfer-encoding"]
+
+
 def test_slow_handler_does_not_trigger_the_request_timeout() -> None:
     harness = ServerHarness()
     harness.holds_requests = True
