Bound the bytes other than the body that follow the head of a request

What was seen in the tests: chunk sizes, chunk extensions and a trailer line without end were read until the request timeout (10 s), and the parser kept the whole trailer line in memory.

Cause: limits applied to the head, to complete trailers and to the body only.

The bytes after the head that are no body have the limit of the head, and 16 bytes more for each part of the body. Above it the request gets 400 and the connection closes.

--- a/packages/transport/radishtray_transport/_http_channel.py
+++ b/packages/transport/radishtray_transport/_http_channel.py
@@ -22,6 +22,9 @@
 _REQUEST_TIMEOUT = b"408 Request Timeout"
 _HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Allowed for each part of a body, for its chunk framing, in addition to the
+# head limit for all framing and trailers.
+_MAX_FRAMING_BYTES = 16
 # Parsed requests that may wait for earlier responses on the same connection
 # before reading from the socket is paused.
 _MAX_PIPELINED_REQUESTS = 16
@@ -72,6 +75,8 @@
         self._incoming_request: HttpRequest | None = None
         self._is_parsing_head = False
         self._partial_head_bytes = 0
+        # Bytes after the head, other than the body, that may still follow.
+        self._framing_left = 0
         self._body_parts: list[bytes] = []
         self._body_bytes = 0
         self._queued_requests: deque[HttpRequest] = deque()
@@ -95,6 +100,8 @@
         if parser is None or self._pending_rejection is not None:
             return
         was_parsing_head = self._is_parsing_head
+        if self._incoming_request is not None and not was_parsing_head:
+            self._framing_left -= len(data)
         try:
             parser.feed_data(data)
         except HttpParserUpgrade:
@@ -105,6 +112,12 @@
             self._partial_head_bytes += len(data)
             if self._partial_head_bytes > self.limits.head_bytes:
                 self._reject(_HEAD_TOO_LARGE, "head_too_large")
+        elif (
+            self._framing_left < 0
+            and self._incoming_request is not None
+            and not self._is_parsing_head
+        ):
+            self._reject(_BAD_REQUEST, "malformed_request")
         self._dispatch()
 
     # Callbacks of the httptools parser.
@@ -151,6 +164,7 @@
         request = self._incoming_request
         parser = self._parser
         self._is_parsing_head = False
+        self._framing_left = self.limits.head_bytes
         if request is None or parser is None:
             return
         request.method = parser.get_method()
@@ -188,6 +202,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Stores a part of the body; drops the body above the limit."""
+        self._framing_left += len(part) + _MAX_FRAMING_BYTES
         request = self._incoming_request
         if request is None or request.is_too_large:
             return
--- a/packages/transport/radishtray_transport/tests/test_http_server.py
+++ b/packages/transport/radishtray_transport/tests/test_http_server.py
@@ -402,3 +402,64 @@
             assert len(rest) >= int(length[1])
             rest = rest[int(length[1]) :]
     assert received_statuses(harness.send(GET_REQUEST)) == [200]
+
+
+# Name: start of a request, bytes repeated without end.
+ENDLESS_REQUESTS = {
+    "chunk_size": (CHUNKED_HEAD, b"0"),
+    "chunk_extension": (CHUNKED_HEAD + b"1;", b"x"),
+    "chunks_with_extensions": (
+        CHUNKED_HEAD,
+        b"1;" + b"x" * 500 + b"\r\nx\r\n",
+    ),
+    "trailer_line": (CHUNKED_HEAD + b"0\r\nt: ", b"x"),
+    "trailer_name": (CHUNKED_HEAD + b"0\r\n", b"x"),
+    "header_line": (b"GET / HTTP/1.1\r\nh: ", b"x"),
+    "request_line": (b"GET /", b"x"),
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS_REQUESTS)
+def test_endless_request_is_rejected_after_a_bounded_number_of_bytes(
+    name: str,
+) -> None:
+    prefix, unit = ENDLESS_REQUESTS[name]
+    read_bytes = 1_000
+    harness = ServerHarness()
+    connection = harness.open()
+    unsent = prefix
+    sent_bytes = 0
+    while not connection.is_closed and sent_bytes < 500_000:
+        while len(unsent) < read_bytes:
+            unsent += unit
+        connection.transport.write(unsent[:read_bytes])
+        unsent = unsent[read_bytes:]
+        sent_bytes += read_bytes
+        harness.network.run(0.01)
+    assert sent_bytes <= 2 * LIMITS.head_bytes
+    assert received_statuses(connection)[0] in (400, 413, 431)
+    assert len(harness.rejection_reasons) == 1
+
+
+def test_body_in_chunks_of_one_byte_is_accepted() -> None:
+    body = b"x" * LIMITS.body_bytes
+    harness = ServerHarness()
+    connection = harness.send(
+        CHUNKED_HEAD,
+        *[b"1\r\nx\r\n"] * LIMITS.body_bytes,
+        b"0\r\n\r\n",
+        pause_s=0.005,
+    )
+    assert received_statuses(connection) == [200]
+    assert connection.received.endswith(body)
+
+
+def test_framing_of_a_request_does_not_count_for_the_next_one() -> None:
+    harness = ServerHarness()
+    connection = harness.send(
+        CHUNKED_HEAD,
+        b"1;" + b"x" * 15_000,
+        b"\r\nx\r\n0\r\n\r\nGET /" + b"a" * 12_000,
+        b" HTTP/1.1\r\n\r\n",
+    )
+    assert received_statuses(connection) == [200, 200]
