--- a/packages/transport/radishtray_transport/_http_channel.py
+++ b/packages/transport/radishtray_transport/_http_channel.py
@@ -22,6 +22,9 @@
 _REQUEST_TIMEOUT = b"408 Request Timeout"
 _HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Allowed for each part of a body, for its chunk framing, in addition to the
+# head limit for all framing and trailers.
+_MAX_FRAMING_BYTES = 16
 # Parsed requests that may wait for earlier responses on the same connection
 # before reading from the socket is paused.
 _MAX_PIPELINED_REQUESTS = 16
@@ -72,7 +75,11 @@
         self._incoming_request: HttpRequest | None = None
         self._is_parsing_head = False
         self._partial_head_bytes = 0
-        self._body_parts: list[bytes] = []
+        # Bytes after the head, other than the body, that may still follow.
+        self._framing_left = 0
+        # Most bodies arrive in one part, which is then not copied.
+        self._first_body_part = b""
+        self._other_body_parts = bytearray()
         self._body_bytes = 0
         self._queued_requests: deque[HttpRequest] = deque()
         self._active_request: HttpRequest | None = None
@@ -95,6 +102,8 @@
         if parser is None or self._pending_rejection is not None:
             return
         was_parsing_head = self._is_parsing_head
+        if self._incoming_request is not None and not was_parsing_head:
+            self._framing_left -= len(data)
         try:
             parser.feed_data(data)
         except HttpParserUpgrade:
@@ -105,6 +114,12 @@
             self._partial_head_bytes += len(data)
             if self._partial_head_bytes > self.limits.head_bytes:
                 self._reject(_HEAD_TOO_LARGE, "head_too_large")
+        elif (
+            self._framing_left < 0
+            and self._incoming_request is not None
+            and not self._is_parsing_head
+        ):
+            self._reject(_BAD_REQUEST, "malformed_request")
         self._dispatch()
 
     # Callbacks of the httptools parser.
@@ -128,14 +143,21 @@
                 self._reject(_HEAD_TOO_LARGE, "head_too_large")
 
     def on_header(self, name: bytes, value: bytes | None) -> None:
-        """Adds a header; rejects the request above the head limits."""
+        """Adds a header; rejects the request above the head limits.
+
+        Trailers count toward the limits but are not added to the request.
+        """
         request = self._incoming_request
         if request is None:
             return
-        request.add_header(name, value or b"")
+        if self._is_parsing_head:
+            request.add_header(name, value or b"")
+        else:
+            request.count_trailer(name, value or b"")
         if (
             request.head_bytes > self.limits.head_bytes
-            or len(request.headers) > self.limits.headers
+            or len(request.headers) + request.trailer_count
+            > self.limits.headers
         ):
             self._reject(_HEAD_TOO_LARGE, "head_too_large")
 
@@ -144,6 +166,7 @@
         request = self._incoming_request
         parser = self._parser
         self._is_parsing_head = False
+        self._framing_left = self.limits.head_bytes
         if request is None or parser is None:
             return
         request.method = parser.get_method()
@@ -181,15 +204,22 @@
 
     def on_body(self, part: bytes) -> None:
         """Stores a part of the body; drops the body above the limit."""
+        self._framing_left += len(part) + _MAX_FRAMING_BYTES
         request = self._incoming_request
         if request is None or request.is_too_large:
             return
         self._body_bytes += len(part)
         if self._body_bytes > self.limits.body_bytes:
             request.is_too_large = True
-            self._body_parts.clear()
-            return
-        self._body_parts.append(part)
+            self._clear_body()
+        elif not self._first_body_part:
+            self._first_body_part = part
+        else:
+            self._other_body_parts += part
+
+    def _clear_body(self) -> None:
+        self._first_body_part = b""
+        self._other_body_parts = bytearray()
 
     def on_message_complete(self) -> None:
         """Queues the request, which is dispatched after the parser returns."""
@@ -198,10 +228,11 @@
         self._request_started_s = None
         if request is None:
             return
-        parts = self._body_parts
-        if parts:
-            request.body = parts[0] if len(parts) == 1 else b"".join(parts)
-            self._body_parts = []
+        request.body = self._first_body_part
+        if self._other_body_parts:
+            request.body += self._other_body_parts
+        if self._first_body_part:
+            self._clear_body()
         self._body_bytes = 0
         self._queued_requests.append(request)
         if not request.is_persistent:
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -1,5 +1,6 @@
 """Client side of one keep-alive HTTP/1.1 connection."""
 
+import re
 from typing import Protocol as TypingProtocol
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
@@ -31,8 +32,18 @@
     )
 )
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
-_MAX_HEAD_BYTES = 65536
+# Bytes that a server may send for one request in addition to bodies: heads of
+# interim, other and final responses, chunk framing and trailers.
+_MAX_OVERHEAD_BYTES = 65536
+# Added to the overhead for each part of a body, for its chunk framing.
+_MAX_FRAMING_BYTES = 16
+_MAX_HEADERS = 500
 _BODILESS_STATUSES = frozenset((204, 304))
+_SERVICE_UNAVAILABLE = 503
+_PROTOCOL_PREFIX = b"HTTP/1."
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
+# Request ids that a connection remembers, the newest ones.
+_MAX_REMEMBERED_IDS = 64
 # A connection is not reused after this fraction of the idle timeout that the
 # server states. A request that is sent while the server closes the connection
 # has an unknown outcome.
@@ -67,11 +78,23 @@
         ...
 
 
+def _contains_response_head(body: bytes, id_header: bytes) -> bool:
+    """Returns whether a body contains a status line and, below it, an id."""
+    for block in body.split(b"\r\n\r\n"):
+        match = _STATUS_LINE.search(block)
+        if match is None:
+            continue
+        if b"\r\n%s:" % id_header in block[match.end() :].lower():
+            return True
+    return False
+
+
 class HttpConnection(Protocol):
     """One keep-alive connection with at most one request in flight.
 
-    A connection that received bytes that belong to no request, or a response
-    to another request, is closed, as its next response can't be trusted.
+    A connection that received bytes that belong to no request, a response to
+    another request or one without the id of its request is closed, as its next
+    response can't be trusted.
     """
 
     def __init__(self, pool: ConnectionPool) -> None:
@@ -79,34 +102,54 @@
         self.idle_since_s = 0.0
         self._pool = pool
         self._rules = pool.rules
+        self._id_header = pool.rules.request_id_header.encode("latin-1")
         self._idle_limit_s = pool.rules.idle_limit_s
         self._max_body_bytes = pool.max_body_bytes
         self._parser: HttpResponseParser | None = HttpResponseParser(self)
         self._pending: PendingRequest | None = None
+        # Keys are the ids of the newest requests; a dict keeps their order.
+        self._sent_ids: dict[str, None] = {}
         # Whether a response to another request was received and dropped.
         self._dropped_other_response = False
         # Whether the response is malformed or exceeds a limit.
         self._is_invalid = False
         self._is_complete = False
         self._has_extra_bytes = False
+        # Bytes other than bodies that the server may still send.
+        self._overhead_left = 0
+        # Bodies of responses to other requests.
+        self._dropped_body_bytes = 0
         self._reset_response()
 
     def _reset_response(self) -> None:
         self._status = 0
         self._headers: HeaderList = []
-        self._body_parts: list[bytes] = []
+        # Most bodies arrive in one part, which is then not copied.
+        self._first_body_part = b""
+        self._other_body_parts = bytearray()
         self._body_bytes = 0
-        self._partial_head_bytes = 0
         self._is_parsing_head = True
         self._has_framing_header = False
+        self._reason_phrase = b""
         self._keep_alive = True
         self._is_close_delimited = False
+        self._stated_id: str | None = None
+        self._has_two_ids = False
+        self._is_for_other_request = False
+        self._is_unidentified = False
 
     @property
     def idle_limit_s(self) -> float:
         """Idle seconds after which the connection is not reused."""
         return self._idle_limit_s
 
+    def has_sent(self, pending: PendingRequest) -> bool:
+        """Returns whether a recent request on this connection had this id.
+
+        A second response to that request would pass as one to `pending`.
+        """
+        return pending.expected_request_id in self._sent_ids
+
     def connectionMade(self) -> None:
         """Prepares the transport and adds the connection to its pool."""
         self.transport.setTcpNoDelay(True)
@@ -116,11 +159,20 @@
     def send(self, pending: PendingRequest) -> None:
         """Sends a request; the connection must be idle."""
         self._is_complete = False
-        self._reset_response()
+        self._overhead_left = _MAX_OVERHEAD_BYTES
+        self._dropped_body_bytes = 0
         self._pending = pending
         pending.attach(self)
+        self._remember_id(pending.expected_request_id)
         self._writer.write(pending.data)
 
+    def _remember_id(self, request_id: str) -> None:
+        if not request_id:
+            return
+        self._sent_ids[request_id] = None
+        if len(self._sent_ids) > _MAX_REMEMBERED_IDS:
+            del self._sent_ids[next(iter(self._sent_ids))]
+
     def abort(self) -> None:
         """Closes the connection without waiting for a response."""
         self._pending = None
@@ -136,7 +188,7 @@
                 self._pool.report_fault(ResponseFault.UNSOLICITED_BYTES)
             self.abort()
             return
-        was_parsing_head = self._is_parsing_head
+        self._overhead_left -= len(data)
         try:
             parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
@@ -144,10 +196,11 @@
             # does not make the response invalid.
             self._has_extra_bytes = True
             self._is_invalid = self._is_invalid or not self._is_complete
-        if was_parsing_head and self._is_parsing_head:
-            self._partial_head_bytes += len(data)
-            if self._partial_head_bytes > _MAX_HEAD_BYTES:
+        if self._is_complete:
+            if self._embeds_other_response():
                 self._is_invalid = True
+        elif self._overhead_left < 0:
+            self._is_invalid = True
         # The response is reported only after all received bytes were parsed.
         # If the connection were reused earlier, extra bytes after the response
         # would be read as the response to the next request.
@@ -159,24 +212,47 @@
     # Callbacks of the httptools parser.
 
     def on_message_begin(self) -> None:
-        """Starts a response, or records that extra bytes follow it."""
+        """Records that extra bytes follow a complete response."""
         if self._is_complete:
             self._has_extra_bytes = True
-        else:
-            self._reset_response()
+
+    def on_status(self, part: bytes) -> None:
+        """Stores a part of the reason phrase."""
+        if not self._is_complete:
+            self._reason_phrase += part
 
     def on_header(self, name: bytes, value: bytes | None) -> None:
-        """Stores an end-to-end header; evaluates the hop-by-hop ones."""
-        if self._is_complete:
+        """Stores an end-to-end header; evaluates the hop-by-hop ones.
+
+        Trailers are ignored; they could replace the signature or the id.
+        """
+        if self._is_complete or not self._is_parsing_head:
             return
+        value = value or b""
+        # Otherwise the status or headers of a truncated head would be combined
+        # with the rest of the response that follows it.
+        if _PROTOCOL_PREFIX in value and _STATUS_LINE.search(value):
+            self._is_invalid = True
         lowered = name.lower()
         if lowered not in _HOP_BY_HOP_HEADERS:
+            if len(self._headers) >= 2 * _MAX_HEADERS:
+                self._is_invalid = True
+                return
+            text = value.decode("latin-1")
             self._headers.append(name.decode("latin-1"))
-            self._headers.append((value or b"").decode("latin-1"))
+            self._headers.append(text)
+            if lowered == self._id_header:
+                self._store_id(text.strip())
         elif lowered in _FRAMING_HEADERS:
             self._has_framing_header = True
         elif lowered == b"keep-alive":
-            self._apply_keep_alive_timeout(value or b"")
+            self._apply_keep_alive_timeout(value)
+
+    def _store_id(self, stated_id: str) -> None:
+        if self._stated_id is None:
+            self._stated_id = stated_id
+        elif self._stated_id != stated_id:
+            self._has_two_ids = True
 
     def _apply_keep_alive_timeout(self, value: bytes) -> None:
         """Reduces the idle limit to the timeout of a Keep-Alive header.
@@ -196,11 +272,16 @@
             return
         self._is_parsing_head = False
         self._status = status = parser.get_status_code()
+        reason = self._reason_phrase
+        if _PROTOCOL_PREFIX in reason and _STATUS_LINE.search(reason):
+            self._is_invalid = True
         if status < 200:
             return
         if parser.get_http_version() not in ("1.0", "1.1"):
             self._is_invalid = True
         pending = self._pending
+        if pending is not None:
+            self._check_request_id(pending)
         if pending is not None and pending.is_head_request:
             # The parser does not know that a response to HEAD has no body and
             # would wait for Content-Length bytes.
@@ -209,19 +290,53 @@
         elif not self._has_framing_header and status not in _BODILESS_STATUSES:
             # Without a framing header a truncated body can't be distinguished
             # from a complete one.
-            self._is_close_delimited = self._rules.allows_close_delimited
-            self._is_invalid = not self._is_close_delimited
+            self._is_close_delimited = (
+                self._rules.allows_close_delimited and not self._is_unidentified
+            )
+            if not self._is_close_delimited:
+                self._is_invalid = True
+
+    def _check_request_id(self, pending: PendingRequest) -> None:
+        """Determines whether the response answers the request in flight.
+
+        A response without an id may be extra bytes after an earlier one. Only
+        a 503 without a body is accepted, which a server may send before it
+        reads the request.
+        """
+        expected_id = pending.expected_request_id
+        if not self._id_header or not expected_id:
+            return
+        if self._stated_id is None:
+            self._is_unidentified = True
+            if self._status != _SERVICE_UNAVAILABLE:
+                self._is_invalid = True
+        else:
+            self._is_for_other_request = (
+                self._has_two_ids or self._stated_id != expected_id
+            )
 
     def on_body(self, part: bytes) -> None:
-        """Stores a part of the body, up to the size limit."""
+        """Stores a part of the body, up to the size limit.
+
+        The limit applies to all responses to other requests together.
+        """
         if self._is_complete:
             self._has_extra_bytes = True
             return
-        self._body_bytes += len(part)
-        if self._body_bytes > self._max_body_bytes:
+        size = len(part)
+        self._overhead_left += size + _MAX_FRAMING_BYTES
+        if self._is_for_other_request:
+            self._dropped_body_bytes += size
+            if self._dropped_body_bytes > self._max_body_bytes:
+                self._is_invalid = True
+            return
+        self._body_bytes += size
+        if self._body_bytes > self._max_body_bytes or self._is_unidentified:
             self._is_invalid = True
+        elif not self._first_body_part:
+            self._first_body_part = part
         else:
-            self._body_parts.append(part)
+            self._other_body_parts += part
 
     def on_message_complete(self) -> None:
         """Completes the response, or discards an interim (1xx) one."""
@@ -236,27 +351,36 @@
         self._complete_response()
 
     def _complete_response(self) -> None:
-        pending = self._pending
-        if pending is not None and self._is_for_other_request(pending):
+        if self._is_for_other_request:
             # Drops a response to an earlier request and waits for the expected
             # one, after which the connection is closed.
             self._pool.report_fault(ResponseFault.OTHER_REQUEST)
             self._dropped_other_response = True
-            self._is_invalid = not self._keep_alive
+            if not self._keep_alive:
+                self._is_invalid = True
             self._reset_response()
             return
         self._is_complete = True
 
-    def _is_for_other_request(self, pending: PendingRequest) -> bool:
-        """Returns whether the response states the id of another request."""
-        if not self._rules.request_id_header or not pending.expected_request_id:
-            return False
-        response = HttpResponse(self._status, self._headers, b"")
-        stated_id = response.header(self._rules.request_id_header)
+    def _embeds_other_response(self) -> bool:
+        """Returns whether the body contains the head of another response.
+
+        The body was then truncated, or its end was not detected, before the
+        server sent the other response.
+        """
+        body = self._body()
         return (
-            stated_id is not None and stated_id != pending.expected_request_id
+            _PROTOCOL_PREFIX in body
+            and bool(self._id_header)
+            and _contains_response_head(body, self._id_header)
         )
 
+    def _body(self) -> bytes:
+        if self._other_body_parts:
+            self._first_body_part += self._other_body_parts
+            self._other_body_parts = bytearray()
+        return self._first_body_part
+
     # End of a request.
 
     def _report_response(self) -> None:
@@ -264,14 +388,21 @@
         pending = self._pending
         self._pending = None
         response = self._build_response()
+        is_unidentified = self._is_unidentified
+        keep_alive = self._keep_alive
+        # An idle connection must not hold its last response.
+        self._reset_response()
         if self._has_extra_bytes:
             self._pool.report_fault(ResponseFault.EXTRA_BYTES)
-        id_header = self._rules.request_id_header
-        if id_header and response.header(id_header) is None:
+        if is_unidentified:
             self._pool.report_fault(ResponseFault.NO_REQUEST_ID)
-        if self._has_extra_bytes or self._dropped_other_response:
+        if (
+            self._has_extra_bytes
+            or self._dropped_other_response
+            or is_unidentified
+        ):
             self.abort()
-        elif self._keep_alive:
+        elif keep_alive:
             self._pool.connection_idle(self)
         else:
             self.transport.loseConnection()
@@ -279,12 +410,17 @@
             pending.succeed(response)
 
     def _build_response(self) -> HttpResponse:
-        parts = self._body_parts
-        body = parts[0] if len(parts) == 1 else b"".join(parts)
-        return HttpResponse(self._status, self._headers, body)
+        if self._is_unidentified:
+            # Its headers may describe another request.
+            return HttpResponse(self._status, [], b"")
+        return HttpResponse(self._status, self._headers, self._body())
 
     def _report_invalid(self) -> None:
-        self._pool.report_fault(ResponseFault.MALFORMED)
+        self._pool.report_fault(
+            ResponseFault.NO_REQUEST_ID
+            if self._is_unidentified
+            else ResponseFault.MALFORMED
+        )
         pending = self._pending
         self.abort()
         if pending is not None:
@@ -299,10 +435,13 @@
         if pending is None:
             return
         if (
-            self._is_close_delimited
-            and reason.check(ConnectionDone)
-            and not self._is_for_other_request(pending)
+            not self._is_close_delimited
+            or not reason.check(ConnectionDone)
+            or self._is_for_other_request
         ):
-            pending.succeed(self._build_response())
-        else:
             pending.fail(RequestFailure.CONNECTION_LOST)
+        elif self._embeds_other_response():
+            self._pool.report_fault(ResponseFault.MALFORMED)
+            pending.fail(RequestFailure.INVALID_ANSWER)
+        else:
+            pending.succeed(self._build_response())
--- a/packages/transport/radishtray_transport/tests/test_http_server.py
+++ b/packages/transport/radishtray_transport/tests/test_http_server.py
@@ -12,6 +12,7 @@
 
 from radishtray_testing.memory_network import MemoryNetwork, RawConnection
 from radishtray_transport import HttpLimits, HttpRequest, HttpServer
+from radishtray_transport.tests.answer_builders import held_bytes
 
 LIMITS = HttpLimits(
     head_bytes=20_000,
@@ -30,7 +31,7 @@
     While `holds_requests` is set, it leaves the responses to the test.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: HttpLimits = LIMITS) -> None:
         """Starts the server."""
         self.network = MemoryNetwork()
         self.rejection_reasons: list[str] = []
@@ -39,7 +40,7 @@
         self.server = HttpServer(
             self.network,
             self._handle_request,
-            LIMITS,
+            limits,
             self.rejection_reasons.append,
         )
         self.server.start("127.0.0.1", 0)
@@ -106,6 +107,24 @@
         [],
         True,
     ),
+    "trailers": (
+        CHUNKED_HEAD + b"0\r\n" + b"t: v\r\n" * 19 + b"\r\n" + GET_REQUEST,
+        [200, 200],
+        [],
+        True,
+    ),
+    "trailers_too_long": (
+        CHUNKED_HEAD + b"0\r\n" + (b"t: " + b"v" * 9_000 + b"\r\n") * 4,
+        [431],
+        ["head_too_large"],
+        False,
+    ),
+    "too_many_trailers": (
+        CHUNKED_HEAD + b"0\r\n" + b"t: v\r\n" * 21 + b"\r\n",
+        [431],
+        ["head_too_large"],
+        False,
+    ),
     "http_1_0": (b"GET / HTTP/1.0\r\n\r\n", [200], [], False),
     "connection_close": (
         b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n" + GET_REQUEST,
@@ -226,6 +245,9 @@
     "head": (b"GET / HTTP/1.1\r\n", b"a: b\r\n", b"c: d\r\n"),
     "body": (b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n", b"a", b"b"),
     "second_request": (GET_REQUEST + b"GET /", b"a"),
+    "chunk_size": (CHUNKED_HEAD, b"0" * 5_000, b"0" * 5_000),
+    "chunk_extension": (CHUNKED_HEAD + b"1;", b"x" * 5_000, b"x" * 5_000),
+    "trailers": (CHUNKED_HEAD + b"0\r\n", b"t: v\r\n", b"t: v\r\n"),
 }
 
 
@@ -241,6 +263,15 @@
     assert harness.server.connection_count == 0
 
 
+def test_trailers_are_no_headers_of_the_request() -> None:
+    harness = ServerHarness()
+    harness.holds_requests = True
+    harness.send(CHUNKED_HEAD + b"1\r\nx\r\n0\r\nX-Trailer: 1\r\n\r\n")
+    (request,) = harness.held_requests
+    assert request.body == b"x"
+    assert [name for name, _, _ in request.headers] == [b"transfer-encoding"]
+
+
 def test_slow_handler_does_not_trigger_the_request_timeout() -> None:
     harness = ServerHarness()
     harness.holds_requests = True
@@ -372,3 +403,84 @@
             assert len(rest) >= int(length[1])
             rest = rest[int(length[1]) :]
     assert received_statuses(harness.send(GET_REQUEST)) == [200]
+
+
+# Name: start of a request, bytes repeated without end.
+ENDLESS_REQUESTS = {
+    "chunk_size": (CHUNKED_HEAD, b"0"),
+    "chunk_extension": (CHUNKED_HEAD + b"1;", b"x"),
+    "chunks_with_extensions": (
+        CHUNKED_HEAD,
+        b"1;" + b"x" * 500 + b"\r\nx\r\n",
+    ),
+    "trailer_line": (CHUNKED_HEAD + b"0\r\nt: ", b"x"),
+    "trailer_name": (CHUNKED_HEAD + b"0\r\n", b"x"),
+    "header_line": (b"GET / HTTP/1.1\r\nh: ", b"x"),
+    "request_line": (b"GET /", b"x"),
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS_REQUESTS)
+def test_endless_request_is_rejected_after_a_bounded_number_of_bytes(
+    name: str,
+) -> None:
+    prefix, unit = ENDLESS_REQUESTS[name]
+    read_bytes = 1_000
+    harness = ServerHarness()
+    connection = harness.open()
+    unsent = prefix
+    sent_bytes = 0
+    while not connection.is_closed and sent_bytes < 500_000:
+        while len(unsent) < read_bytes:
+            unsent += unit
+        connection.transport.write(unsent[:read_bytes])
+        unsent = unsent[read_bytes:]
+        sent_bytes += read_bytes
+        harness.network.run(0.01)
+    assert sent_bytes <= 2 * LIMITS.head_bytes
+    assert received_statuses(connection)[0] in (400, 413, 431)
+    assert len(harness.rejection_reasons) == 1
+
+
+def test_body_in_chunks_of_one_byte_is_accepted() -> None:
+    body = b"x" * LIMITS.body_bytes
+    harness = ServerHarness()
+    connection = harness.send(
+        CHUNKED_HEAD,
+        *[b"1\r\nx\r\n"] * LIMITS.body_bytes,
+        b"0\r\n\r\n",
+        pause_s=0.005,
+    )
+    assert received_statuses(connection) == [200]
+    assert connection.received.endswith(body)
+
+
+def test_framing_of_a_request_does_not_count_for_the_next_one() -> None:
+    harness = ServerHarness()
+    connection = harness.send(
+        CHUNKED_HEAD,
+        b"1;" + b"x" * 15_000,
+        b"\r\nx\r\n0\r\n\r\nGET /" + b"a" * 12_000,
+        b" HTTP/1.1\r\n\r\n",
+    )
+    assert received_statuses(connection) == [200, 200]
+
+
+# Name: chunk that is repeated, number of chunks.
+SMALL_CHUNKS = {
+    "one_byte": (b"1\r\nx\r\n", 50_000),
+    "two_bytes": (b"2\r\nxy\r\n", 25_000),
+}
+
+
+@pytest.mark.parametrize("name", SMALL_CHUNKS)
+def test_body_in_small_chunks_takes_little_memory(name: str) -> None:
+    chunk, count = SMALL_CHUNKS[name]
+    harness = ServerHarness(HttpLimits(body_bytes=50_000))
+    connection = harness.send(CHUNKED_HEAD, chunk * count)
+    server_end = harness.network.connections[harness.server.port][0][1]
+    # A buffer that grows may be larger than its content.
+    assert held_bytes(vars(server_end.protocol)) < 75_000
+    connection.transport.write(b"0\r\n\r\n")
+    harness.network.run(0.1)
+    assert received_statuses(connection) == [200]
