Tie an acknowledgement of key records to its transfer

A planned stop could be reported as whole although a successor had not accepted its key records. The keys in them would then be refused as unknown.

Cause: pending transfers were listed by service and slot only, and any node's acknowledgement completed the oldest one that had not timed out. The transfer to one successor times out, records of the same slot go to the next, and the late acknowledgement of the first completes the transfer to the second. The class of fault: a reply that belongs to one object is taken for its successor's.

Fix: a transfer is found by the node that acknowledges it, the service and the slot. The wire format is unchanged, and an acknowledgement still does not name its message. So an entry stays after its timeout, and another transfer of the slot to the same node fails until the acknowledgement of the first has arrived. The slot driver sends no such second transfer: it ends a batch at the first failure.

Not covered: a node that restarts between the choice of the successor and the transfer. Its new process has the same node id and acknowledges the records.

--- a/packages/node/radishtray_node/_control_frames.py
+++ b/packages/node/radishtray_node/_control_frames.py
@@ -57,6 +57,8 @@
                 frame.slot_table_push, is_reply=True
             )
         elif frame.key_records_ack is not None:
-            self._slot_service.receive_records_ack(frame.key_records_ack)
+            self._slot_service.receive_records_ack(
+                node_id, frame.key_records_ack
+            )
         elif frame.release_push is not None:
             self._get_fleet().receive_release_push(node_id, frame.release_push)
--- a/packages/node/radishtray_node/_slot_service.py
+++ b/packages/node/radishtray_node/_slot_service.py
@@ -32,6 +32,9 @@
 SendFrame = Callable[[str, wire.Frame], bool]
 """Sends a control frame to a node id; False if it has no known address."""
 
+_TransferKey = tuple[str, str, int]
+"""Node id of the receiver, service and slot of a transfer of key records."""
+
 
 class SlotService:
     """Runs the slot driver of the upstream's service and exchanges slot tables.
@@ -48,11 +51,11 @@
         "_key_owner",
         "_key_router",
         "_on_table_received",
-        "_pending_acks",
         "_reactor",
         "_rng",
         "_send_frame",
         "_store",
+        "_transfers",
         "service",
     )
 
@@ -93,7 +96,7 @@
         self._send_frame = send_frame
         self._on_table_received = on_table_received
         self._driver: SlotDriver | None = None
-        self._pending_acks: dict[tuple[str, int], list[Deferred[None]]] = {}
+        self._transfers: dict[_TransferKey, Deferred[None]] = {}
         self.service = ""
 
     def set_service(self, service: str) -> None:
@@ -247,17 +250,28 @@
     def _send_records(
         self, member: SlotOwner, records: KeyRecords[Any]
     ) -> "Deferred[None]":
+        """Sends records of one slot, and fires when they are acknowledged.
+
+        An acknowledgement names the slot and not the message. A transfer of the
+        same slot to the same node therefore fails while the acknowledgement of
+        an earlier one, which may have timed out, could still arrive.
+        """
         acknowledged: Deferred[None] = Deferred()
+        key = (member.node_id, records.service, records.slot)
+        if key in self._transfers:
+            acknowledged.errback(
+                ConnectionError(
+                    f"{member.node_id} has not acknowledged an earlier transfer"
+                )
+            )
+            return acknowledged
         frame = wire.Frame(key_records=_records_to_wire(records))
         if not self._send_frame(member.node_id, frame):
             acknowledged.errback(
                 ConnectionError(f"{member.node_id} has no known address")
             )
             return acknowledged
-        pending = self._pending_acks.setdefault(
-            (records.service, records.slot), []
-        )
-        pending.append(acknowledged)
+        self._transfers[key] = acknowledged
         acknowledged.addTimeout(_ACK_TIMEOUT_S, self._reactor)
         return acknowledged
 
@@ -280,18 +294,27 @@
         )
         return wire.Frame(key_records_ack=ack)
 
-    def receive_records_ack(self, ack: wire.KeyRecordsAck) -> None:
-        """Completes the oldest pending transfer of a slot's records.
+    def receive_records_ack(
+        self, node_id: str, ack: wire.KeyRecordsAck
+    ) -> None:
+        """Completes the transfer of a slot's records to a node.
+
+        An acknowledgement that belongs to no transfer, or to one that has timed
+        out, completes nothing.
 
-        An acknowledgement names the slot and not the message, so replies are
-        matched in the order of sending. Transfers that timed out are skipped.
+        Args:
+            node_id: Node that sent the acknowledgement.
+            ack: Names the service and the slot.
         """
-        pending = self._pending_acks.get((ack.service_name, ack.slot), [])
-        while pending:
-            acknowledged = pending.pop(0)
-            if not acknowledged.called:
-                acknowledged.callback(None)
-                return
+        key = (node_id, ack.service_name, ack.slot)
+        acknowledged = self._transfers.pop(key, None)
+        if acknowledged is None or acknowledged.called:
+            _LOG.info(
+                "acknowledgement fits no transfer of key records; ignoring it",
+                extra={"peer": node_id, "slot": ack.slot},
+            )
+        else:
+            acknowledged.callback(None)
 
 
 def _records_to_wire(records: KeyRecords[Any]) -> wire.KeyRecords:
