Tie the probe of an upstream to its process

After a restart of an upstream its node could refuse requests until the next heartbeat, and a harmless request content could be counted as crashing.

Cause: a probe, its waiters and its result belonged to the node's upstream, whichever process that was. (1) A process ends, its probe starts, the report of its successor is read before the refusal: the successor was withdrawn, and its running content was counted as crashed. (2) The report of the successor is read before the connections of its predecessor are lost: their loss probed the successor. (3) Connections of a crashed process that were lost after the successor's report ended runs that the crash had already ended, which removed a run of the successor with the same content, and a crash in that run was not counted.

Fix: an UpstreamProcess is made with the connections to a process. A call keeps the one that it runs at and probes that. A process that has been replaced is not probed, and a result that arrives after the replacement changes nothing: the process has ended, but whether it crashed is unknown, so its calls end as upstream_lost without a crash. A process known to have crashed is reported so to all its calls, and is counted once. The upstream is now withdrawn before the crash is handled, so that no waiting suspect starts at the crashed process.

Limit: if a process crashes and its successor reports before the probe ends, the crash is not counted. Counting it would also count the runs of the successor, since runs are recorded by content.

--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from radishtray_node._call_result import CallResult
+from radishtray_node._local_upstream import UpstreamProcess
 from radishtray_node._request_parts import strip_radishtray_headers
 from radishtray_node._running_request import RunningRequest
 from radishtray_node._timers import Timer
@@ -66,6 +67,7 @@
         "_pending_request",
         "_phase",
         "_phase_started_s",
+        "_process",
         "_server",
         "_ticket",
         "request",
@@ -92,6 +94,7 @@
         self._phase = _Phase.NEW
         self._ticket: Ticket | None = None
         self._pending_request: PendingRequest | None = None
+        self._process: UpstreamProcess | None = None
         self._handle = ""
         self._deadline_timer: Timer | None = None
         self._overlong_run_timer: Timer | None = None
@@ -219,16 +222,17 @@
             self._check_suspect()
             return
         server = self._server
-        client = server.upstream.client
+        process = server.upstream.process
         announcement = server.upstream.announcement
         assert self._ticket is not None
-        if client is None or announcement is None:
+        if process is None or announcement is None:
             # The upstream was withdrawn while this call waited. Nothing was
             # sent to it.
             self._release_slot()
             self._refuse(RefusalReason.NO_UPSTREAM)
             return
         self._phase = _Phase.RUNNING
+        self._process = process
         now_s = server.clock.monotonic()
         server.queue_timer.record(now_s - self._phase_started_s)
         self._phase_started_s = now_s
@@ -246,7 +250,7 @@
         server.upstream.suspects.record_start(self.request.fingerprint)
         server.running_calls.add(self)
         self._pending_request = server.forwarding.send(
-            client,
+            process.client,
             self._call,
             self.request,
             self._handle,
@@ -285,12 +289,15 @@
                 else RefusalReason.DEADLINE_RUNNING
             )
         else:
-            self._server.upstream.probe(self._handle_probe_result)
+            assert self._process is not None
+            self._server.upstream.probe(
+                self._process, self._handle_probe_result
+            )
 
-    def _handle_probe_result(self, is_accepting: bool) -> None:
-        if is_accepting:
+    def _handle_probe_result(self, has_crashed: bool) -> None:
+        if not has_crashed:
             self._server.note_run_finished(self.request.fingerprint, False)
-        self._finish_unknown(RefusalReason.UPSTREAM_LOST, not is_accepting)
+        self._finish_unknown(RefusalReason.UPSTREAM_LOST, has_crashed)
 
     def _finish_run(self, *, is_measured: bool = True) -> None:
         """Ends the run at the upstream and releases its slot.
--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -126,14 +126,45 @@
         self.done(False)
 
 
+class UpstreamProcess:
+    """One process of the upstream, from its announcement on.
+
+    It is replaced by the next process, and by a new announcement of the same
+    one after a withdrawal.
+
+    Attributes:
+        client: HTTP client with the connections to the process.
+        has_crashed: Whether a probe has shown that the process has crashed.
+    """
+
+    __slots__ = ("_probe_waiters", "client", "has_crashed")
+
+    def __init__(self, client: HttpClient) -> None:
+        """Creates a process that has not crashed."""
+        self.client = client
+        self.has_crashed = False
+        self._probe_waiters: list[Callable[[bool], None]] = []
+
+    def add_probe_waiter(self, done: Callable[[bool], None]) -> bool:
+        """Adds a waiter; returns whether it is the first of its probe."""
+        self._probe_waiters.append(done)
+        return len(self._probe_waiters) == 1
+
+    def finish_probe(self) -> None:
+        """Calls the waiters of a probe with whether the process has crashed."""
+        waiters, self._probe_waiters = self._probe_waiters, []
+        for done in waiters:
+            done(self.has_crashed)
+
+
 class LocalUpstream:
     """The upstream beside this node.
 
     Attributes:
         announcement: The latest announcement; None if it was withdrawn or there
             was none yet.
-        client: HTTP client with the connections to the upstream; None before
-            the first announcement.
+        process: The process that was announced last; None before the first
+            announcement.
         admission: Admits requests to the slots of the upstream.
         suspects: Fingerprints of requests that may crash upstreams.
     """
@@ -144,12 +175,11 @@
         "_on_change",
         "_on_crash",
         "_on_response_fault",
-        "_probe_waiters",
         "_reactor",
         "_response_rules",
         "admission",
         "announcement",
-        "client",
+        "process",
         "suspects",
     )
 
@@ -176,7 +206,8 @@
             suspects: Fingerprints of requests that may crash upstreams.
             on_change: Called when the upstream is announced, is announced with
                 other properties or is withdrawn.
-            on_crash: Called when the upstream no longer accepts connections.
+            on_crash: Called when the upstream no longer accepts connections,
+                after its withdrawal.
             response_rules: How responses of the upstream are read.
             used_share: Share of the announced slots that this node uses.
             on_response_fault: Called with each fault in what the upstream
@@ -189,9 +220,8 @@
         self._on_change = on_change
         self._on_crash = on_crash
         self._last_heartbeat_s = 0.0
-        self._probe_waiters: list[Callable[[bool], None]] = []
         self.announcement: Announcement | None = None
-        self.client: HttpClient | None = None
+        self.process: UpstreamProcess | None = None
         self.admission = AdmissionController(
             clock, rng, 1, admission_policy, used_share
         )
@@ -202,6 +232,11 @@
         """Service of the upstream; empty if none is announced."""
         return self.announcement.service if self.announcement else ""
 
+    @property
+    def client(self) -> HttpClient | None:
+        """HTTP client of `process`."""
+        return self.process.client if self.process else None
+
     def accept_announcement(self, announcement: Announcement) -> None:
         """Registers the upstream, or renews its registration.
 
@@ -219,7 +254,7 @@
             or self.client.address != address
         )
         if is_new:
-            self._replace_client(announcement)
+            self._replace_process(announcement)
         if known is None or known.slots != announcement.slots or is_new:
             self.admission.set_slots(announcement.slots)
             _LOG.info(
@@ -232,10 +267,10 @@
             )
             self._on_change()
 
-    def _replace_client(self, announcement: Announcement) -> None:
-        if self.client is not None:
-            self.client.close()
-        self.client = HttpClient(
+    def _replace_process(self, announcement: Announcement) -> None:
+        if self.process is not None:
+            self.process.client.close()
+        client = HttpClient(
             self._reactor,
             announcement.host,
             announcement.port,
@@ -244,6 +279,7 @@
             self._response_rules,
             self._on_response_fault,
         )
+        self.process = UpstreamProcess(client)
         if announcement.cold_start_s > 0:
             self.admission.begin_cold_start(announcement.cold_start_s)
 
@@ -271,7 +307,7 @@
         accepts no connection. After `HEARTBEAT_TIMEOUT_S` it is withdrawn in
         any case.
         """
-        if self.announcement is None:
+        if self.announcement is None or self.process is None:
             return
         age_s = self._clock.monotonic() - self._last_heartbeat_s
         if age_s > HEARTBEAT_TIMEOUT_S:
@@ -281,42 +317,51 @@
             )
             self.withdraw_announcement()
         elif age_s > HEARTBEAT_PROBE_S:
-            self.probe(lambda _is_accepting: None)
+            self.probe(self.process, lambda _has_crashed: None)
 
-    def probe(self, done: Callable[[bool], None]) -> None:
-        """Checks whether the upstream still accepts connections.
+    def probe(
+        self, process: UpstreamProcess, done: Callable[[bool], None]
+    ) -> None:
+        """Checks whether a process of the upstream has crashed.
 
         A lost connection alone is no evidence of a crash, since a live upstream
         may close a connection at any time. A failed probe counts as a crash.
-        Concurrent callers share one probe.
+        Concurrent callers share one probe. A process that has been replaced is
+        not probed: it has ended, but whether it crashed is not known.
 
         Args:
-            done: Called with whether a connection was accepted.
+            process: The process whose connection was lost.
+            done: Called with whether the process is known to have crashed.
         """
-        self._probe_waiters.append(done)
-        announcement = self.announcement
-        if len(self._probe_waiters) > 1:
+        if process is not self.process or process.has_crashed:
+            done(process.has_crashed)
             return
+        if not process.add_probe_waiter(done):
+            return
+        announcement = self.announcement
         if announcement is None:
-            self._finish_probe(False)
+            self._finish_probe(process, False)
             return
         self._reactor.connectTCP(
             announcement.host,
             announcement.port,
-            _ProbeFactory(self._finish_probe),
+            _ProbeFactory(
+                lambda is_accepting: self._finish_probe(process, is_accepting)
+            ),
             timeout=_PROBE_TIMEOUT_S,
         )
 
-    def _finish_probe(self, is_accepting: bool) -> None:
-        waiters = self._probe_waiters
-        self._probe_waiters = []
-        if not is_accepting:
-            self._on_crash()
+    def _finish_probe(
+        self, process: UpstreamProcess, is_accepting: bool
+    ) -> None:
+        if not is_accepting and process is self.process:
+            process.has_crashed = True
+            # Requests that wait for this crash must not start at the process.
             self.withdraw_announcement()
-        for done in waiters:
-            done(is_accepting)
+            self._on_crash()
+        process.finish_probe()
 
     def close(self) -> None:
         """Closes the connections to the upstream."""
-        if self.client is not None:
-            self.client.close()
+        if self.process is not None:
+            self.process.client.close()
