Withdraw an upstream only for an answer to its own request

After a restart of an upstream its node could refuse requests until the next heartbeat, and that heartbeat began another cold start.

Cause: an answer that says that another process has the reported address withdrew whichever process was registered when it arrived. If the successor's report is read before the answer to a request for its predecessor, the successor was withdrawn.

Fix: the answer is applied only while the process to which its request was sent is registered. The request itself still ends as not run.

Evidence: test_an_answer_for_an_ended_process_does_not_withdraw_its_successor failed on (announcement None) and passes.

--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -265,7 +265,8 @@
         if fault is not None:
             self._finish_run(is_measured=False)
             self._server.note_run_finished(self.request.fingerprint, False)
-            self._server.upstream.handle_fault(fault)
+            assert self._process is not None
+            self._server.upstream.handle_fault(self._process, fault)
             self._refuse(fault)
             return
         self._finish_run()
--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -283,9 +283,17 @@
         if announcement.cold_start_s > 0:
             self.admission.begin_cold_start(announcement.cold_start_s)
 
-    def handle_fault(self, fault: RefusalReason) -> None:
-        """Withdraws the upstream if its address now belongs to another one."""
-        if fault is RefusalReason.UPSTREAM_REPLACED:
+    def handle_fault(
+        self, process: UpstreamProcess, fault: RefusalReason
+    ) -> None:
+        """Withdraws the upstream if its address now belongs to another one.
+
+        Args:
+            process: The process to which the request was sent; nothing follows
+                if it has been replaced.
+            fault: Why its response was rejected.
+        """
+        if fault is RefusalReason.UPSTREAM_REPLACED and process is self.process:
             self.withdraw_announcement()
 
     def withdraw_announcement(self) -> None:
--- a/packages/node/radishtray_node/tests/test_upstream_processes.py
+++ b/packages/node/radishtray_node/tests/test_upstream_processes.py
@@ -132,3 +132,16 @@
     replacement.fleet.run(0.1)
     (suspect,) = replacement.gateway.crash_tally.export()
     assert suspect.crashes == 2
+
+
+def test_an_answer_for_an_ended_process_does_not_withdraw_its_successor() -> (
+    None
+):
+    """The answer states that another process has the reported address."""
+    replacement = Replacement()
+    result = replacement.send("r1")
+    replacement.report_second()
+    replacement.first.requests[0].respond(421, [], b"")
+    replacement.fleet.run(0.2)
+    assert result.status == 503
+    replacement.check_second_serves()
