Treat a later start of an upstream as a new process

What callers saw: nothing in a recorded run; found by review. After a restart of an upstream with the instance id and address of its predecessor, requests could be sent on connections to the ended process, and the restarted one got as many requests as a warm one.

Cause: reports carry the start of the process, by which stale reports are recognised, but the announcement made of them did not. Only another instance id, service or address replaced the connections and began a cold start.

Fix: the announcement carries the start, and another start means another process. Reports of an earlier start still do not get that far. An announcement without a start is as before.

Evidence: test_a_restart_with_the_same_instance_id_keeps_no_old_connections, in the case restart, failed on (the client was kept) and passes; its three other cases (heartbeats, a late report of an earlier process) passed before and after. The builder of reports accepts any field now, so that the test can state a start.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -427,6 +427,7 @@
                     report.slots,
                     report.cold_left_s,
                     report.instance,
+                    report.started_ms,
                 )
             )
         elif verdict is ReportVerdict.LEAVING:
--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -41,9 +41,19 @@
         slots: Number of requests that it can run concurrently.
         cold_start_s: Duration of its warm-up after a start, in seconds.
         instance: Id of its process; a new id means that it was restarted.
+        started_ms: Start of its process, in milliseconds since the epoch; 0 if
+            it was not stated. Another start means that it was restarted.
     """
 
-    __slots__ = ("cold_start_s", "host", "instance", "port", "service", "slots")
+    __slots__ = (
+        "cold_start_s",
+        "host",
+        "instance",
+        "port",
+        "service",
+        "slots",
+        "started_ms",
+    )
 
     def __init__(
         self,
@@ -53,6 +63,7 @@
         slots: int,
         cold_start_s: float = 0.0,
         instance: str = "",
+        started_ms: int = 0,
     ) -> None:
         """Creates a valid announcement.
 
@@ -75,6 +86,7 @@
         self.slots = slots
         self.cold_start_s = cold_start_s
         self.instance = instance
+        self.started_ms = started_ms
 
 
 def parse_announcement(body: bytes) -> Result[Announcement, str]:
@@ -240,7 +252,7 @@
     def accept_announcement(self, announcement: Announcement) -> None:
         """Registers the upstream, or renews its registration.
 
-        A new instance, service or address replaces the connections.
+        Another instance, start, service or address replaces the connections.
         """
         self._last_heartbeat_s = self._clock.monotonic()
         known = self.announcement
@@ -249,6 +261,7 @@
         is_new = (
             known is None
             or known.instance != announcement.instance
+            or known.started_ms != announcement.started_ms
             or known.service != announcement.service
             or self.client is None
             or self.client.address != address
--- a/packages/node/radishtray_node/tests/test_upstream_processes.py
+++ b/packages/node/radishtray_node/tests/test_upstream_processes.py
@@ -18,6 +18,8 @@
     build_route("once", "s", is_repeatable=False, timeout_s=TIMEOUT_S)
 )
 CONNECT_S = 0.05
+# Fewer than the slots of an upstream, more than it may use in a cold start.
+REQUESTS = 4
 
 
 class Replacement:
@@ -145,3 +147,33 @@
     replacement.fleet.run(0.2)
     assert result.status == 503
     replacement.check_second_serves()
+
+
+# Name: start time in milliseconds and sequence number of a second report with
+# the same instance id and address, and whether it is of another process.
+RESTART_CASES = {
+    "heartbeat": (1, 2, False),
+    "repeated_heartbeat": (1, 1, False),
+    "restart": (2, 1, True),
+    "late_report_of_an_earlier_process": (0, 9, False),
+}
+
+
+@pytest.mark.parametrize("name", RESTART_CASES)
+def test_a_restart_with_the_same_instance_id_keeps_no_old_connections(
+    name: str,
+) -> None:
+    started_ms, sequence, is_restart = RESTART_CASES[name]
+    replacement = Replacement()
+    upstream = replacement.gateway.upstream
+    client = upstream.client
+    replacement.gateway.accept_report(
+        replacement.first.report(
+            "s", sequence, started_ms=started_ms, cold_left_s=4.0
+        )
+    )
+    assert (upstream.client is not client) == is_restart
+    for number in range(REQUESTS):
+        replacement.send(f"r{number}")
+    runs_at_once = len(replacement.first.runs)
+    assert (runs_at_once < REQUESTS) == is_restart, "cold start"
--- a/packages/testing/radishtray_testing/gateway_builders.py
+++ b/packages/testing/radishtray_testing/gateway_builders.py
@@ -284,15 +284,18 @@
             slots: Number of requests that it runs at once.
             **changes: Fields that differ from the defaults below.
         """
-        fields: dict[str, Any] = {"is_leaving": False, "cold_left_s": 0.0}
+        fields: dict[str, Any] = {
+            "instance": self._instance,
+            "started_ms": 1,
+            "host": LOOPBACK,
+            "port": self.port,
+            "is_leaving": False,
+            "cold_left_s": 0.0,
+        }
         return UpstreamReport(
-            self._instance,
-            1,
-            sequence,
-            service,
-            LOOPBACK,
-            self.port,
-            slots,
+            sequence=sequence,
+            service=service,
+            slots=slots,
             **(fields | changes),
         )
 
