Keep the parent of calls while a run with its id goes on

Calls of a request that ran twice at one node could be admitted by a rank of their own, and so be refused, or be taken for first sends.

Cause: running requests were found by their id. If a resend started at the node while the first run went on, the end of either removed the parent of both.

Fix: each run adds and removes its own record. While several runs have one id, calls inherit from the one that started last, as before, since their ids do not tell which run made them.

Evidence: test_the_end_of_a_run_keeps_the_parent_of_another_with_its_id (gateway) failed on: no parent was found after the end of the first of two runs. The test of the same name of CallChains failed there with one running request counted in place of two, and test_an_ended_request_has_no_calls because remove_request takes the record now; its checks are unchanged. All pass now.

--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -64,6 +64,7 @@
         "_key",
         "_on_done",
         "_overlong_run_timer",
+        "_parent",
         "_pending_request",
         "_phase",
         "_phase_started_s",
@@ -95,6 +96,7 @@
         self._ticket: Ticket | None = None
         self._pending_request: PendingRequest | None = None
         self._process: UpstreamProcess | None = None
+        self._parent: ParentRequest | None = None
         self._handle = ""
         self._deadline_timer: Timer | None = None
         self._overlong_run_timer: Timer | None = None
@@ -238,15 +240,13 @@
         self._phase_started_s = now_s
         if server.forwarding.uses_handles:
             self._handle = server.running_requests.add(self.request)
-        server.chains.add_request(
-            self.request.request_id,
-            ParentRequest(
-                self._call.kind,
-                self.request.priority_class,
-                self.request.level,
-                bool(self._call.is_repeat),
-            ),
+        self._parent = ParentRequest(
+            self._call.kind,
+            self.request.priority_class,
+            self.request.level,
+            bool(self._call.is_repeat),
         )
+        server.chains.add_request(self.request.request_id, self._parent)
         server.upstream.suspects.record_start(self.request.fingerprint)
         server.running_calls.add(self)
         self._pending_request = server.forwarding.send(
@@ -311,7 +311,8 @@
         server = self._server
         ticket = self._ticket
         server.running_requests.remove(self._handle)
-        server.chains.remove_request(self.request.request_id)
+        if self._parent is not None:
+            server.chains.remove_request(self.request.request_id, self._parent)
         server.running_calls.discard(self)
         if self._overlong_run_timer is not None:
             self._overlong_run_timer.cancel()
--- a/packages/node/radishtray_node/tests/test_gateway.py
+++ b/packages/node/radishtray_node/tests/test_gateway.py
@@ -305,6 +305,23 @@
     assert result.status == 502
 
 
+def test_the_end_of_a_run_keeps_the_parent_of_another_with_its_id() -> None:
+    """The calls of the remaining run need its rank."""
+    fleet = build_fleet(1)
+    upstream = fleet.upstreams["n0"]
+    upstream.on_run = lambda http: None
+    results = [fleet.send("e", f"/once/{path}", "r1") for path in "ab"]
+    fleet.run(0.1)
+    chains = fleet.gateways["n0"].entry.chains
+    parents = []
+    for request in upstream.requests:
+        upstream.answer(request)
+        fleet.run(0.1)
+        parents.append(chains.find_parent(b"r1.c1", "once") is not None)
+    assert [result.status for result in results] == [200, 200]
+    assert parents == [True, False]
+
+
 def test_a_replaced_upstream_process_does_not_run_the_request() -> None:
     """The port of the reported process now belongs to another process."""
     fleet = build_fleet(1)
--- a/packages/state/radishtray_state/_call_chain.py
+++ b/packages/state/radishtray_state/_call_chain.py
@@ -60,13 +60,14 @@
             clock: Time source.
         """
         self._clock = clock
-        self._running_requests: dict[bytes, ParentRequest] = {}
+        # A resend may run while an earlier run with its id has not ended.
+        self._running_requests: dict[bytes, tuple[ParentRequest, ...]] = {}
         self._callees: dict[str, dict[str, float]] = {}
         self._received_thresholds: dict[str, tuple[int, int, float]] = {}
 
     def __len__(self) -> int:
         """Requests that are running on the upstream."""
-        return len(self._running_requests)
+        return sum(map(len, self._running_requests.values()))
 
     def add_request(self, request_id: bytes, request: ParentRequest) -> None:
         """Adds a request that starts to run on the upstream.
@@ -75,21 +76,35 @@
             request_id: Id of the request.
             request: Values that its calls inherit.
         """
-        self._running_requests[request_id] = request
+        running = self._running_requests.get(request_id, ())
+        self._running_requests[request_id] = (*running, request)
 
-    def remove_request(self, request_id: bytes) -> None:
-        """Removes a request that has ended, if it is known."""
-        self._running_requests.pop(request_id, None)
+    def remove_request(self, request_id: bytes, request: ParentRequest) -> None:
+        """Removes a request that has ended, if it is known.
+
+        Args:
+            request_id: Id of the request.
+            request: The object that was added; others with the id remain.
+        """
+        running = self._running_requests.get(request_id, ())
+        others = tuple(other for other in running if other is not request)
+        if others:
+            self._running_requests[request_id] = others
+        else:
+            self._running_requests.pop(request_id, None)
 
     def find_parent(self, request_id: bytes, kind: str) -> ParentRequest | None:
         """Returns the running request that makes a call, or None.
 
+        If several run with the parent's id, it is the one that started last.
+
         Args:
             request_id: Id of the call.
             kind: Kind of the call; recorded as called by the parent's kind.
         """
         parent_id = request_id.rpartition(_ID_SEPARATOR)[0]
-        parent = self._running_requests.get(parent_id) if parent_id else None
+        running = self._running_requests.get(parent_id) if parent_id else None
+        parent = running[-1] if running else None
         if parent is not None:
             callees = self._callees.setdefault(parent.kind, {})
             callees[kind] = self._clock.monotonic() + _DEPENDENCY_TTL_S
--- a/packages/state/radishtray_state/tests/test_call_chain.py
+++ b/packages/state/radishtray_state/tests/test_call_chain.py
@@ -34,7 +34,26 @@
 def test_an_ended_request_has_no_calls() -> None:
     chains = CallChains(ManualClock())
     chains.add_request(b"r1", PARENT)
-    chains.remove_request(b"r1")
+    chains.remove_request(b"r1", PARENT)
+    assert chains.find_parent(b"r1.c1", "read") is None
+    assert len(chains) == 0
+
+
+@pytest.mark.parametrize("ended", [0, 1])
+def test_the_end_of_a_run_keeps_the_parent_of_another_with_its_id(
+    ended: int,
+) -> None:
+    runs = [
+        ParentRequest("list", 2, level, is_repeat=False) for level in (1, 2)
+    ]
+    chains = CallChains(ManualClock())
+    for run in runs:
+        chains.add_request(b"r1", run)
+    assert len(chains) == 2
+    assert chains.find_parent(b"r1.c1", "read") is runs[1], "the latest one"
+    chains.remove_request(b"r1", runs[ended])
+    assert chains.find_parent(b"r1.c1", "read") is runs[1 - ended]
+    chains.remove_request(b"r1", runs[1 - ended])
     assert chains.find_parent(b"r1.c1", "read") is None
     assert len(chains) == 0
 
