Fail transfers of key records to a process that has ended

A planned stop could be reported as whole although the successor that the slot table names had ended, so that the keys of the records would be refused as unknown.

Cause: records are sent to a node id, and a transfer is for a process. If the node is restarted between the choice of the successor and the acknowledgement, its new process, which owns other slots, acknowledged the transfer to the earlier one.

Fix: after each handshake, open transfers to earlier processes of the node fail, and so do later ones to a process that is known to have ended.

The tests of the handover now use an Application, so that they cover how its parts are connected; the ten cases of the other test are unchanged and pass.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -322,7 +322,8 @@
             self.send_control(node_id, wire.Frame(slot_table_pull=pull))
 
     def _peer_verified(self, node_id: str, incarnation: int) -> None:
-        """Replaces a slot owner after the handshake of its successor."""
+        """Ends what depends on earlier processes of a node."""
+        self._slot_service.peer_verified(node_id, incarnation)
         replaced_owner = self._replaced_owners.pop(node_id, None)
         if (
             replaced_owner is not None
--- a/packages/node/radishtray_node/_slot_service.py
+++ b/packages/node/radishtray_node/_slot_service.py
@@ -36,6 +36,23 @@
 """Node id of the receiver, service and slot of a transfer of key records."""
 
 
+class _Transfer:
+    """A transfer of key records that has not been acknowledged.
+
+    Attributes:
+        receiver: Process that the records are for.
+        acknowledged: Fires with the acknowledgement; fails at the timeout.
+    """
+
+    __slots__ = ("acknowledged", "receiver")
+
+    def __init__(
+        self, receiver: SlotOwner, acknowledged: "Deferred[None]"
+    ) -> None:
+        self.receiver = receiver
+        self.acknowledged = acknowledged
+
+
 class SlotService:
     """Runs the slot driver of the upstream's service and exchanges slot tables.
 
@@ -56,6 +73,7 @@
         "_send_frame",
         "_store",
         "_transfers",
+        "_verified_incarnations",
         "service",
     )
 
@@ -96,7 +114,8 @@
         self._send_frame = send_frame
         self._on_table_received = on_table_received
         self._driver: SlotDriver | None = None
-        self._transfers: dict[_TransferKey, Deferred[None]] = {}
+        self._transfers: dict[_TransferKey, _Transfer] = {}
+        self._verified_incarnations: dict[str, int] = {}
         self.service = ""
 
     def set_service(self, service: str) -> None:
@@ -258,6 +277,9 @@
         """
         acknowledged: Deferred[None] = Deferred()
         key = (member.node_id, records.service, records.slot)
+        if self._has_ended(member):
+            acknowledged.errback(_process_ended_error(member))
+            return acknowledged
         if key in self._transfers:
             acknowledged.errback(
                 ConnectionError(
@@ -271,10 +293,33 @@
                 ConnectionError(f"{member.node_id} has no known address")
             )
             return acknowledged
-        self._transfers[key] = acknowledged
+        self._transfers[key] = _Transfer(member, acknowledged)
         acknowledged.addTimeout(_ACK_TIMEOUT_S, self._reactor)
         return acknowledged
 
+    def _has_ended(self, member: SlotOwner) -> bool:
+        """Returns whether a later process of a node is known."""
+        verified = self._verified_incarnations.get(member.node_id, 0)
+        return verified > member.incarnation
+
+    def peer_verified(self, node_id: str, incarnation: int) -> None:
+        """Fails transfers to earlier processes of a node.
+
+        Their successor accepts the records, but is not the owner that the slot
+        table names.
+
+        Args:
+            node_id: Node with which a handshake was completed.
+            incarnation: Incarnation of its process.
+        """
+        self._verified_incarnations[node_id] = incarnation
+        for transfer in list(self._transfers.values()):
+            is_open = not transfer.acknowledged.called
+            if is_open and self._has_ended(transfer.receiver):
+                transfer.acknowledged.errback(
+                    _process_ended_error(transfer.receiver)
+                )
+
     def receive_records(self, records: wire.KeyRecords) -> wire.Frame:
         """Imports key records of a leaving owner.
 
@@ -307,14 +352,18 @@
             ack: Names the service and the slot.
         """
         key = (node_id, ack.service_name, ack.slot)
-        acknowledged = self._transfers.pop(key, None)
-        if acknowledged is None or acknowledged.called:
+        transfer = self._transfers.pop(key, None)
+        if transfer is None or transfer.acknowledged.called:
             _LOG.info(
                 "acknowledgement fits no transfer of key records; ignoring it",
                 extra={"peer": node_id, "slot": ack.slot},
             )
         else:
-            acknowledged.callback(None)
+            transfer.acknowledged.callback(None)
+
+
+def _process_ended_error(member: SlotOwner) -> ConnectionError:
+    return ConnectionError(f"{member} has ended; its node was restarted")
 
 
 def _records_to_wire(records: KeyRecords[Any]) -> wire.KeyRecords:
--- a/packages/node/radishtray_node/tests/test_slot_service.py
+++ b/packages/node/radishtray_node/tests/test_slot_service.py
@@ -1,19 +1,25 @@
 """Tests of the handover of key records to other nodes."""
 
-import random
-from typing import Any, cast
-
 import pytest
 
-from radishtray_node._control_frames import ControlFrameDispatcher
-from radishtray_node._slot_service import SlotService
+from radishtray_node._application import Application
+from radishtray_node._settings import parse_settings
 from radishtray_protocol import wire
 from radishtray_state import KeyRecords, SlotOwner
 from radishtray_testing.memory_network import MemoryNetwork
-from radishtray_testing.node_builders import NetworkClock
+from radishtray_testing.node_builders import CLUSTER_KEYS, LOOPBACK
 
 SLOT = 3
 ACK_TIMEOUT_S = 5.0
+INCARNATION = 5
+SETTINGS = {
+    "RADISHTRAY_NODE_ID": "sender",
+    "RADISHTRAY_FAILURE_DOMAIN": "d",
+    "RADISHTRAY_ADDRESS": LOOPBACK,
+    "RADISHTRAY_CLUSTER_KEYS": CLUSTER_KEYS,
+    "RADISHTRAY_OPERATOR_TOKEN": "0123456789abcdef",
+    "RADISHTRAY_PLATFORM": f"http://{LOOPBACK}:1",
+}
 
 
 class Handover:
@@ -22,32 +28,34 @@
     Attributes:
         results: For each transfer whether it was acknowledged; None while it
             is open.
-        sent: Node ids to which records were sent.
     """
 
     def __init__(self) -> None:
-        """Creates the sending node without transfers."""
+        """Creates the sending node, whose frames reach no other node."""
         self.results: list[bool | None] = []
-        self.sent: list[str] = []
         self._network = MemoryNetwork()
-        self._service = SlotService(
-            self._network,
-            NetworkClock(self._network),
-            random.Random(1),
-            cast(Any, None),
-            cast(Any, None),
-            cast(Any, None),
-            lambda _service: (),
-            self._send_frame,
-            lambda _service, _is_reply: None,
-        )
-        self._control_frames = ControlFrameDispatcher(
-            self._service, lambda: cast(Any, None)
-        )
-
-    def _send_frame(self, node_id: str, frame: wire.Frame) -> bool:
-        self.sent.append(node_id)
-        return frame.key_records is not None
+        self._node = Application(self._network, parse_settings([], SETTINGS).ok)
+        self._slot_service = self._node._slot_service
+        self._slot_service._send_frame = lambda _node_id, _frame: True
+
+    def play(self, events: str) -> None:
+        """Plays events that are separated by spaces.
+
+        Args:
+            events: `>a` for a transfer to node `a`, `<a` for an acknowledgement
+                by it, `=a` for a handshake with the process that the transfers
+                are for, `+a` for one with a later process, and `.` for the time
+                after which open transfers time out.
+        """
+        actions = {
+            ">": self.transfer,
+            "<": self.acknowledge,
+            "=": lambda node_id: self.connect(node_id, INCARNATION),
+            "+": lambda node_id: self.connect(node_id, INCARNATION + 1),
+            ".": lambda _node_id: self.time_out(),
+        }
+        for event in events.split():
+            actions[event[0]](event[1:])
 
     def transfer(self, node_id: str) -> None:
         """Sends records to a node."""
@@ -57,24 +65,27 @@
         def record(result: bool) -> None:
             self.results[number] = result
 
-        self._service._send_records(
-            SlotOwner(node_id, 1), KeyRecords("s", SLOT, ())
+        self._slot_service._send_records(
+            SlotOwner(node_id, INCARNATION), KeyRecords("s", SLOT, ())
         ).addCallbacks(lambda _: record(True), lambda _: record(False))
 
     def acknowledge(self, node_id: str) -> None:
         """Delivers an acknowledgement by a node."""
         ack = wire.KeyRecordsAck(service_name="s", slot=SLOT)
-        self._control_frames.handle_reply(
+        self._node._control_frames.handle_reply(
             node_id, wire.Frame(key_records_ack=ack)
         )
 
+    def connect(self, node_id: str, incarnation: int) -> None:
+        """Completes the handshake with a process of a node."""
+        self._node._peer_verified(node_id, incarnation)
+
     def time_out(self) -> None:
         """Waits until open transfers have timed out."""
         self._network.run(ACK_TIMEOUT_S + 0.1)
 
 
-# Name: events, as a transfer to a node (`>a`), an acknowledgement by it (`<a`)
-# or a timeout (`.`), and the results of the transfers.
+# Name: events as in `Handover.play`, and the results of the transfers.
 TRANSFER_CASES: dict[str, tuple[str, list[bool | None]]] = {
     "in_time": (">a <a", [True]),
     "two_messages": (">a <a >a <a", [True, True]),
@@ -93,11 +104,24 @@
 def test_a_late_acknowledgement_completes_no_other_transfer(name: str) -> None:
     events, results = TRANSFER_CASES[name]
     handover = Handover()
-    for event in events.split():
-        if event == ".":
-            handover.time_out()
-        elif event.startswith(">"):
-            handover.transfer(event[1:])
-        else:
-            handover.acknowledge(event[1:])
+    handover.play(events)
+    assert handover.results == results
+
+
+# As `TRANSFER_CASES`.
+RESTART_CASES: dict[str, tuple[str, list[bool | None]]] = {
+    "reconnect": (">a =a <a", [True]),
+    "before_acknowledgement": (">a +a <a", [False]),
+    "before_transfer": ("+a >a <a", [False]),
+    "of_another_node": (">a +b <a", [True]),
+}
+
+
+@pytest.mark.parametrize("name", RESTART_CASES)
+def test_a_restarted_node_acknowledges_no_records_for_its_earlier_process(
+    name: str,
+) -> None:
+    events, results = RESTART_CASES[name]
+    handover = Handover()
+    handover.play(events)
     assert handover.results == results
