--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from radishtray_node._call_result import CallResult
+from radishtray_node._local_upstream import UpstreamProcess
 from radishtray_node._request_parts import strip_radishtray_headers
 from radishtray_node._running_request import RunningRequest
 from radishtray_node._timers import Timer
@@ -63,9 +64,11 @@
         "_key",
         "_on_done",
         "_overlong_run_timer",
+        "_parent",
         "_pending_request",
         "_phase",
         "_phase_started_s",
+        "_process",
         "_server",
         "_ticket",
         "request",
@@ -92,6 +95,8 @@
         self._phase = _Phase.NEW
         self._ticket: Ticket | None = None
         self._pending_request: PendingRequest | None = None
+        self._process: UpstreamProcess | None = None
+        self._parent: ParentRequest | None = None
         self._handle = ""
         self._deadline_timer: Timer | None = None
         self._overlong_run_timer: Timer | None = None
@@ -219,34 +224,33 @@
             self._check_suspect()
             return
         server = self._server
-        client = server.upstream.client
+        process = server.upstream.process
         announcement = server.upstream.announcement
         assert self._ticket is not None
-        if client is None or announcement is None:
+        if process is None or announcement is None:
             # The upstream was withdrawn while this call waited. Nothing was
             # sent to it.
             self._release_slot()
             self._refuse(RefusalReason.NO_UPSTREAM)
             return
         self._phase = _Phase.RUNNING
+        self._process = process
         now_s = server.clock.monotonic()
         server.queue_timer.record(now_s - self._phase_started_s)
         self._phase_started_s = now_s
         if server.forwarding.uses_handles:
             self._handle = server.running_requests.add(self.request)
-        server.chains.add_request(
-            self.request.request_id,
-            ParentRequest(
-                self._call.kind,
-                self.request.priority_class,
-                self.request.level,
-                bool(self._call.is_repeat),
-            ),
+        self._parent = ParentRequest(
+            self._call.kind,
+            self.request.priority_class,
+            self.request.level,
+            bool(self._call.is_repeat),
         )
+        server.chains.add_request(self.request.request_id, self._parent)
         server.upstream.suspects.record_start(self.request.fingerprint)
         server.running_calls.add(self)
         self._pending_request = server.forwarding.send(
-            client,
+            process.client,
             self._call,
             self.request,
             self._handle,
@@ -261,7 +265,8 @@
         if fault is not None:
             self._finish_run(is_measured=False)
             self._server.note_run_finished(self.request.fingerprint, False)
-            self._server.upstream.handle_fault(fault)
+            assert self._process is not None
+            self._server.upstream.handle_fault(self._process, fault)
             self._refuse(fault)
             return
         self._finish_run()
@@ -285,12 +290,15 @@
                 else RefusalReason.DEADLINE_RUNNING
             )
         else:
-            self._server.upstream.probe(self._handle_probe_result)
+            assert self._process is not None
+            self._server.upstream.probe(
+                self._process, self._handle_probe_result
+            )
 
-    def _handle_probe_result(self, is_accepting: bool) -> None:
-        if is_accepting:
+    def _handle_probe_result(self, has_crashed: bool) -> None:
+        if not has_crashed:
             self._server.note_run_finished(self.request.fingerprint, False)
-        self._finish_unknown(RefusalReason.UPSTREAM_LOST, not is_accepting)
+        self._finish_unknown(RefusalReason.UPSTREAM_LOST, has_crashed)
 
     def _finish_run(self, *, is_measured: bool = True) -> None:
         """Ends the run at the upstream and releases its slot.
@@ -303,7 +311,8 @@
         server = self._server
         ticket = self._ticket
         server.running_requests.remove(self._handle)
-        server.chains.remove_request(self.request.request_id)
+        if self._parent is not None:
+            server.chains.remove_request(self.request.request_id, self._parent)
         server.running_calls.discard(self)
         if self._overlong_run_timer is not None:
             self._overlong_run_timer.cancel()
--- a/packages/node/radishtray_node/_slot_service.py
+++ b/packages/node/radishtray_node/_slot_service.py
@@ -32,6 +32,26 @@
 SendFrame = Callable[[str, wire.Frame], bool]
 """Sends a control frame to a node id; False if it has no known address."""
 
+_TransferKey = tuple[str, str, int]
+"""Node id of the receiver, service and slot of a transfer of key records."""
+
+
+class _Transfer:
+    """A transfer of key records that has not been acknowledged.
+
+    Attributes:
+        receiver: Process that the records are for.
+        acknowledged: Fires with the acknowledgement; fails at the timeout.
+    """
+
+    __slots__ = ("acknowledged", "receiver")
+
+    def __init__(
+        self, receiver: SlotOwner, acknowledged: "Deferred[None]"
+    ) -> None:
+        self.receiver = receiver
+        self.acknowledged = acknowledged
+
 
 class SlotService:
     """Runs the slot driver of the upstream's service and exchanges slot tables.
@@ -48,11 +68,12 @@
         "_key_owner",
         "_key_router",
         "_on_table_received",
-        "_pending_acks",
         "_reactor",
         "_rng",
         "_send_frame",
         "_store",
+        "_transfers",
+        "_verified_incarnations",
         "service",
     )
 
@@ -93,7 +114,8 @@
         self._send_frame = send_frame
         self._on_table_received = on_table_received
         self._driver: SlotDriver | None = None
-        self._pending_acks: dict[tuple[str, int], list[Deferred[None]]] = {}
+        self._transfers: dict[_TransferKey, _Transfer] = {}
+        self._verified_incarnations: dict[str, int] = {}
         self.service = ""
 
     def set_service(self, service: str) -> None:
@@ -247,20 +269,57 @@
     def _send_records(
         self, member: SlotOwner, records: KeyRecords[Any]
     ) -> "Deferred[None]":
+        """Sends records of one slot, and fires when they are acknowledged.
+
+        An acknowledgement names the slot and not the message. A transfer of the
+        same slot to the same node therefore fails while the acknowledgement of
+        an earlier one, which may have timed out, could still arrive.
+        """
         acknowledged: Deferred[None] = Deferred()
+        key = (member.node_id, records.service, records.slot)
+        if self._has_ended(member):
+            acknowledged.errback(_process_ended_error(member))
+            return acknowledged
+        if key in self._transfers:
+            acknowledged.errback(
+                ConnectionError(
+                    f"{member.node_id} has not acknowledged an earlier transfer"
+                )
+            )
+            return acknowledged
         frame = wire.Frame(key_records=_records_to_wire(records))
         if not self._send_frame(member.node_id, frame):
             acknowledged.errback(
                 ConnectionError(f"{member.node_id} has no known address")
             )
             return acknowledged
-        pending = self._pending_acks.setdefault(
-            (records.service, records.slot), []
-        )
-        pending.append(acknowledged)
+        self._transfers[key] = _Transfer(member, acknowledged)
         acknowledged.addTimeout(_ACK_TIMEOUT_S, self._reactor)
         return acknowledged
 
+    def _has_ended(self, member: SlotOwner) -> bool:
+        """Returns whether a later process of a node is known."""
+        verified = self._verified_incarnations.get(member.node_id, 0)
+        return verified > member.incarnation
+
+    def peer_verified(self, node_id: str, incarnation: int) -> None:
+        """Fails transfers to earlier processes of a node.
+
+        Their successor accepts the records, but is not the owner that the slot
+        table names.
+
+        Args:
+            node_id: Node with which a handshake was completed.
+            incarnation: Incarnation of its process.
+        """
+        self._verified_incarnations[node_id] = incarnation
+        for transfer in list(self._transfers.values()):
+            is_open = not transfer.acknowledged.called
+            if is_open and self._has_ended(transfer.receiver):
+                transfer.acknowledged.errback(
+                    _process_ended_error(transfer.receiver)
+                )
+
     def receive_records(self, records: wire.KeyRecords) -> wire.Frame:
         """Imports key records of a leaving owner.
 
@@ -280,18 +339,31 @@
         )
         return wire.Frame(key_records_ack=ack)
 
-    def receive_records_ack(self, ack: wire.KeyRecordsAck) -> None:
-        """Completes the oldest pending transfer of a slot's records.
+    def receive_records_ack(
+        self, node_id: str, ack: wire.KeyRecordsAck
+    ) -> None:
+        """Completes the transfer of a slot's records to a node.
+
+        An acknowledgement that belongs to no transfer, or to one that has timed
+        out, completes nothing.
 
-        An acknowledgement names the slot and not the message, so replies are
-        matched in the order of sending. Transfers that timed out are skipped.
+        Args:
+            node_id: Node that sent the acknowledgement.
+            ack: Names the service and the slot.
         """
-        pending = self._pending_acks.get((ack.service_name, ack.slot), [])
-        while pending:
-            acknowledged = pending.pop(0)
-            if not acknowledged.called:
-                acknowledged.callback(None)
-                return
+        key = (node_id, ack.service_name, ack.slot)
+        transfer = self._transfers.pop(key, None)
+        if transfer is None or transfer.acknowledged.called:
+            _LOG.info(
+                "acknowledgement fits no transfer of key records; ignoring it",
+                extra={"peer": node_id, "slot": ack.slot},
+            )
+        else:
+            transfer.acknowledged.callback(None)
+
+
+def _process_ended_error(member: SlotOwner) -> ConnectionError:
+    return ConnectionError(f"{member} has ended; its node was restarted")
 
 
 def _records_to_wire(records: KeyRecords[Any]) -> wire.KeyRecords:
