--- a/packages/node/radishtray_node/tests/test_upstream_processes.py
+++ b/packages/node/radishtray_node/tests/test_upstream_processes.py
@@ -10,6 +10,7 @@
     GatewayFleet,
     build_route,
     build_route_table,
+    echoed_id,
 )
 from radishtray_transport import HttpRequest
 
@@ -143,7 +144,8 @@
     replacement = Replacement()
     result = replacement.send("r1")
     replacement.report_second()
-    replacement.first.requests[0].respond(421, [], b"")
+    request = replacement.first.requests[0]
+    request.respond(421, echoed_id(request), b"")
     replacement.fleet.run(0.2)
     assert result.status == 503
     replacement.check_second_serves()
