Run gateways of the memory network as processes that can be killed

Tests could neither kill a gateway nor restart it at its address, nor pause it, and gossip always arrived. FakeGatewayUpstream can answer twice.

--- a/packages/testing/radishtray_testing/gateway_builders.py
+++ b/packages/testing/radishtray_testing/gateway_builders.py
@@ -23,7 +23,11 @@
     encode_routes,
 )
 from radishtray_state import UpstreamReport
-from radishtray_testing.memory_network import MemoryNetwork
+from radishtray_testing.memory_network import (
+    MemoryNetwork,
+    MemoryProcess,
+    MemoryTransport,
+)
 from radishtray_testing.node_builders import NetworkClock
 from radishtray_transport import (
     HttpClient,
@@ -34,6 +38,7 @@
     NotFound,
     PendingRequest,
     RequestFailure,
+    ResponseFault,
 )
 
 LOOPBACK = "127.0.0.1"
@@ -209,10 +214,23 @@
 
 
 def build_gateway(
-    reactor: Any, settings: GatewaySettings, store: RouteTableStore
+    reactor: Any,
+    settings: GatewaySettings,
+    store: RouteTableStore,
+    wall_offset_ms: int = 0,
 ) -> Gateway:
-    """Builds a gateway without starting it."""
-    clock = getattr(reactor, "clock", None) or NetworkClock(reactor)
+    """Builds a gateway without starting it.
+
+    Args:
+        reactor: Reactor of the gateway.
+        settings: Settings of the gateway.
+        store: The platform's store.
+        wall_offset_ms: Error of the gateway's wall clock in milliseconds, if
+            the reactor has no clock of its own.
+    """
+    clock = getattr(reactor, "clock", None) or NetworkClock(
+        reactor, wall_offset_ms
+    )
     return Gateway(
         reactor, clock, settings, store, decode_routes, ignore_report
     )
@@ -229,6 +247,7 @@
         requests: The requests themselves, in the same order.
         on_run: Called with each request that runs; `answer` by default.
         port: TCP port of its listener.
+        reactor: Reactor of the upstream.
     """
 
     def __init__(
@@ -236,14 +255,27 @@
         reactor: Any,
         instance: str,
         on_run: Callable[[HttpRequest], None] | None = None,
+        *,
+        port: int = 0,
+        started_ms: int = 1,
     ) -> None:
-        """Opens the listener of an instance on a free port."""
+        """Opens the listener of an instance.
+
+        Args:
+            reactor: Reactor of the upstream.
+            instance: Id of the upstream process.
+            on_run: Called with each request that runs; `answer` if None.
+            port: TCP port of the listener; 0 chooses a free one.
+            started_ms: Start of the process, which its reports state.
+        """
         self.runs: list[str] = []
         self.requests: list[HttpRequest] = []
         self.on_run = on_run or self.answer
+        self.reactor = reactor
         self._instance = instance
+        self._started_ms = started_ms
         self._server = HttpServer(reactor, self._handle, HttpLimits())
-        self._server.start(LOOPBACK, 0)
+        self._server.start(LOOPBACK, port)
         self.port = self._server.port
 
     def _handle(self, http: HttpRequest) -> None:
@@ -265,6 +297,32 @@
         headers += [HEADER_NAMES.signature, f"{len(body)}"]
         http.respond(status, headers, body)
 
+    def answer_twice(
+        self, http: HttpRequest, body: bytes, status: int, delay_s: float
+    ) -> None:
+        """Responds to a request, and sends the same response again later.
+
+        Args:
+            http: The request.
+            body: Body of both responses.
+            status: Status of both responses.
+            delay_s: Time between the responses in seconds.
+        """
+        channel = http.channel
+        self.answer(http, body, status)
+        if channel is None:
+            return
+        request_id = http.header(HEADER_NAMES.request_id.encode()) or b""
+        head = (
+            f"HTTP/1.1 {status} Again\r\n"
+            f"{HEADER_NAMES.request_id}: {request_id.decode()}\r\n"
+            f"{HEADER_NAMES.signature}: {len(body)}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        self.reactor.callLater(
+            delay_s, channel.writer.write, head.encode() + body
+        )
+
     def shed(self, http: HttpRequest) -> None:
         """Responds that a request was not run and drops it from `runs`.
 
@@ -287,7 +345,7 @@
         fields: dict[str, Any] = {"is_leaving": False, "cold_left_s": 0.0}
         return UpstreamReport(
             self._instance,
-            1,
+            self._started_ms,
             sequence,
             service,
             LOOPBACK,
@@ -301,14 +359,44 @@
         self._server.close()
 
 
+class _FleetMember:
+    """What remains of a gateway's VM when its processes end."""
+
+    __slots__ = (
+        "changes",
+        "ports",
+        "report_sequence",
+        "service",
+        "slots",
+        "upstream_process",
+        "upstreams_started",
+    )
+
+    def __init__(
+        self, service: str, slots: int, ports: tuple[int, ...], changes: Any
+    ) -> None:
+        self.service = service
+        self.slots = slots
+        self.ports = ports
+        self.changes = changes
+        self.upstreams_started = 0
+        self.report_sequence = 0
+        self.upstream_process: MemoryProcess | None = None
+
+
 class GatewayFleet:
     """Gateways on a memory network, each with an upstream and a caller.
 
+    Each gateway and each upstream is a process of its own.
+
     Attributes:
-        network: Reactor of all gateways, upstreams and callers.
+        network: Reactor of the callers; runs the events of all processes.
         store: The platform's store, which all gateways share.
-        gateways: Gateways by node id.
+        gateways: Gateways by node id; a killed one is kept until its restart.
+        processes: Processes of the gateways, by node id.
         upstreams: Upstreams by the node id of their gateway.
+        caller_faults: What gateways sent to callers besides the answers to
+            their requests, with the node id.
     """
 
     def __init__(self, table: RouteTable | None) -> None:
@@ -320,7 +408,10 @@
         self.network = MemoryNetwork()
         self.store = RouteTableStore(table)
         self.gateways: dict[str, Gateway] = {}
+        self.processes: dict[str, MemoryProcess] = {}
         self.upstreams: dict[str, FakeGatewayUpstream] = {}
+        self.caller_faults: list[tuple[str, ResponseFault]] = []
+        self._members: dict[str, _FleetMember] = {}
         self._caller_clients: dict[str, HttpClient] = {}
         self._next_port = 20_000
         self._seed_address = ""
@@ -339,23 +430,147 @@
         ports = tuple(range(self._next_port, self._next_port + 4))
         self._next_port += 4
         seeds = (self._seed_address,) if self._seed_address else ()
+        self._seed_address = self._seed_address or f"{LOOPBACK}:{ports[3]}"
+        self._members[name] = _FleetMember(service, slots, ports, changes)
+        self._start_gateway(name, seeds, 0)
+        self._start_upstream(name, 0)
+        self.report(name)
+        return self.upstreams[name]
+
+    def _start_gateway(
+        self, name: str, seeds: tuple[str, ...], wall_offset_ms: int
+    ) -> None:
+        member = self._members[name]
         settings = build_settings(
             name,
-            service,
-            ports,
-            **({"seeds": seeds} | changes),
+            member.service,
+            member.ports,
+            **({"seeds": seeds} | member.changes),
         )
-        self._seed_address = self._seed_address or f"{LOOPBACK}:{ports[3]}"
-        gateway = build_gateway(self.network, settings, self.store)
+        process = MemoryProcess(self.network)
+        gateway = build_gateway(process, settings, self.store, wall_offset_ms)
         gateway.start()
-        upstream = FakeGatewayUpstream(self.network, f"i-{name}")
-        gateway.accept_report(upstream.report(service, 1, slots=slots))
         self.gateways[name] = gateway
-        self.upstreams[name] = upstream
-        self._caller_clients[name] = HttpClient(
-            self.network, LOOPBACK, ports[0], 64
+        self.processes[name] = process
+        client = self._caller_clients.get(name)
+        if client is None or client.address != (LOOPBACK, member.ports[0]):
+            self._caller_clients[name] = self.open_caller(name, 64)
+
+    def _start_upstream(self, name: str, port: int) -> None:
+        member = self._members[name]
+        member.upstreams_started += 1
+        number = member.upstreams_started
+        instance = f"i-{name}" if number == 1 else f"i-{name}-{number}"
+        member.upstream_process = MemoryProcess(self.network)
+        self.upstreams[name] = FakeGatewayUpstream(
+            member.upstream_process, instance, port=port, started_ms=number
+        )
+
+    def report(self, name: str) -> None:
+        """Has an upstream report to its gateway, unless this one is killed."""
+        member = self._members[name]
+        member.report_sequence += 1
+        report = self.upstreams[name].report(
+            member.service, member.report_sequence, slots=member.slots
+        )
+        gateway = self.gateways[name]
+
+        def deliver() -> None:
+            gateway.accept_report(report)
+
+        self.processes[name].run_or_queue(deliver)
+
+    def kill(self, name: str) -> None:
+        """Kills the process of a gateway; its upstream goes on."""
+        self.processes[name].kill()
+
+    def restart(self, name: str, *, wall_offset_ms: int = 0) -> None:
+        """Starts a new process of a killed gateway at its address.
+
+        Args:
+            name: Node id of the gateway.
+            wall_offset_ms: Error of the new process's wall clock, which its
+                incarnation is made of.
+
+        Raises:
+            ValueError: If the gateway was not killed.
+        """
+        if not self.processes[name].has_ended:
+            raise ValueError(f"gateway {name} was not killed")
+        seeds = tuple(
+            f"{LOOPBACK}:{member.ports[3]}"
+            for other, member in self._members.items()
+            if other != name
         )
-        return upstream
+        self._start_gateway(name, seeds, wall_offset_ms)
+        self.report(name)
+
+    def exchange_addresses(self, first: str, second: str) -> None:
+        """Has two killed gateways restart at each other's address.
+
+        Raises:
+            ValueError: If one of the gateways was not killed.
+        """
+        for name in (first, second):
+            if not self.processes[name].has_ended:
+                raise ValueError(f"gateway {name} was not killed")
+        one, other = self._members[first], self._members[second]
+        one.ports, other.ports = other.ports, one.ports
+
+    def replace_upstream(self, name: str, *, keeps_port: bool = False) -> None:
+        """Kills an upstream and starts another, which reports at once.
+
+        Args:
+            name: Node id of its gateway.
+            keeps_port: Whether the new upstream listens on the same port.
+        """
+        process = self._members[name].upstream_process
+        if process is not None:
+            process.kill()
+        port = self.upstreams[name].port if keeps_port else 0
+        self._start_upstream(name, port)
+        self.report(name)
+
+    def open_caller(self, name: str, max_connections: int) -> HttpClient:
+        """Returns the connections of a new caller to a gateway."""
+        return HttpClient(
+            self.network,
+            LOOPBACK,
+            self._members[name].ports[0],
+            max_connections,
+            on_fault=lambda fault: self.caller_faults.append((name, fault)),
+        )
+
+    def node_connections(
+        self, name: str
+    ) -> list[tuple[MemoryTransport, MemoryTransport]]:
+        """Returns the open connections of other nodes to a gateway."""
+        return self._open_connections(self._members[name].ports[3])
+
+    def upstream_connections(
+        self, name: str
+    ) -> list[tuple[MemoryTransport, MemoryTransport]]:
+        """Returns the open connections of a gateway to its upstream."""
+        return self._open_connections(self.upstreams[name].port)
+
+    def caller_connections(
+        self, name: str
+    ) -> list[tuple[MemoryTransport, MemoryTransport]]:
+        """Returns the open connections of callers to a gateway."""
+        return self._open_connections(self._members[name].ports[0])
+
+    def gossip_port(self, name: str) -> int:
+        """Returns the UDP port of a gateway."""
+        return self._members[name].ports[3]
+
+    def _open_connections(
+        self, port: int
+    ) -> list[tuple[MemoryTransport, MemoryTransport]]:
+        return [
+            pair
+            for pair in self.network.connections.get(port, [])
+            if pair[0].connected and pair[1].connected
+        ]
 
     def run(self, seconds: float) -> None:
         """Advances simulated time."""
@@ -370,6 +585,7 @@
         deadline_ms: int = 1500,
         method: str = "GET",
         body: bytes = b"",
+        caller: HttpClient | None = None,
     ) -> "CallerResult":
         """Sends a request from the caller beside a gateway.
 
@@ -380,12 +596,15 @@
             deadline_ms: Value of the deadline header.
             method: HTTP method.
             body: Body of the request.
+            caller: Connections of the caller; None for those that all callers
+                of a gateway share.
 
         Returns:
             The result, which is filled in once there is one.
         """
-        result = CallerResult()
-        result.pending = self._caller_clients[name].request(
+        result = CallerResult(self.network.seconds)
+        caller = caller or self._caller_clients[name]
+        result.pending = caller.request(
             method,
             path,
             [
@@ -409,21 +628,37 @@
         status: HTTP status of the answer; 0 while there is none.
         answer: The answer, if one has arrived.
         failure: Why the request failed without an answer, if it did.
+        ended_s: Time of the answer or failure, in simulated seconds.
+        on_end: Called at the answer or failure, if set.
         pending: Handle of the request; cancelling it disconnects the caller.
     """
 
-    def __init__(self) -> None:
-        """Creates a result without an answer or a failure."""
+    def __init__(self, seconds: Callable[[], float]) -> None:
+        """Creates a result without an answer or a failure.
+
+        Args:
+            seconds: Returns the simulated time.
+        """
         self.status = 0
         self.answer: HttpResponse | None = None
         self.failure: RequestFailure | None = None
+        self.ended_s: float | None = None
+        self.on_end: Callable[[], None] | None = None
         self.pending: PendingRequest | None = None
+        self._seconds = seconds
 
     def on_answer(self, answer: HttpResponse) -> None:
         """Records the answer."""
         self.status = answer.status
         self.answer = answer
+        self._end()
 
     def on_failure(self, failure: RequestFailure) -> None:
         """Records the failure."""
         self.failure = failure
+        self._end()
+
+    def _end(self) -> None:
+        self.ended_s = self._seconds()
+        if self.on_end is not None:
+            self.on_end()
--- a/packages/testing/radishtray_testing/node_builders.py
+++ b/packages/testing/radishtray_testing/node_builders.py
@@ -30,7 +30,11 @@
     SlotTable,
     UpstreamSelector,
 )
-from radishtray_testing.memory_network import MemoryNetwork, MemoryTransport
+from radishtray_testing.memory_network import (
+    MemoryNetwork,
+    MemoryProcess,
+    MemoryTransport,
+)
 from radishtray_transport import (
     HttpClient,
     HttpLimits,
@@ -81,11 +85,19 @@
 class NetworkClock:
     """A `Clock` that reads the simulated time of a memory network."""
 
-    __slots__ = ("_network",)
+    __slots__ = ("_network", "_wall_offset_ms")
+
+    def __init__(
+        self, network: MemoryNetwork | MemoryProcess, wall_offset_ms: int = 0
+    ) -> None:
+        """Creates the clock of a network or of a process on it.
 
-    def __init__(self, network: MemoryNetwork) -> None:
-        """Creates the clock of a network."""
+        Args:
+            network: Source of simulated time.
+            wall_offset_ms: Error of the wall clock in milliseconds.
+        """
         self._network = network
+        self._wall_offset_ms = wall_offset_ms
 
     def monotonic(self) -> float:
         """Returns the simulated time in seconds."""
@@ -93,7 +105,8 @@
 
     def wall_ms(self) -> int:
         """Returns the simulated wall time in milliseconds since the epoch."""
-        return START_WALL_MS + int(self._network.seconds() * 1000)
+        now_ms = START_WALL_MS + int(self._network.seconds() * 1000)
+        return now_ms + self._wall_offset_ms
 
 
 class FakeUpstream:
