Simulate nodes whose new connections are silent, and kills during a stop

Neither was among the faults: silence only struck connections that were open, and a planned stop always reached its end.

--- a/packages/testing/radishtray_testing/answer_simulation.py
+++ b/packages/testing/radishtray_testing/answer_simulation.py
@@ -24,7 +24,7 @@
 
 from twisted.logger import globalLogPublisher
 
-from radishtray_node import _application, _gateway
+from radishtray_node import Gateway, _application, _gateway
 from radishtray_protocol import Route
 from radishtray_state import _outstanding_attempts
 from radishtray_testing.gateway_builders import (
@@ -308,7 +308,7 @@
             return None
         delay_s = rng.uniform(0.0005, 0.004)
         for name, (late_s, end_s) in self._delayed_gossip.items():
-            port = self._fleet.gossip_port(name)
+            port = self._fleet.node_port(name)
             if now_s < end_s and port in (source_port, target_port):
                 delay_s = max(delay_s, late_s)
         return delay_s
@@ -574,6 +574,18 @@
                 for direction in directions:
                     connection[direction].is_silent = True
 
+    @_fault
+    def silence_node(self) -> None:
+        """Loses everything on new connections to a node for some time."""
+        name = self._random_node()
+        if name is None:
+            return
+        port = self._fleet.node_port(name)
+        silent_ports = self._network.silent_ports
+        silent_ports.add(port)
+        silence_s = self._rng.choice(_HOLD_TIMES_S)
+        self._call_after(silence_s, silent_ports.discard, port)
+
     @_fault
     def hold_connections(self) -> None:
         """Holds back what is sent on some connections, and then delivers it."""
@@ -612,7 +624,10 @@
 
     @_fault
     def stop_node(self) -> None:
-        """Stops a node as planned and starts it again."""
+        """Stops a node as planned, or kills it before the end of its stop.
+
+        It is restarted in either case.
+        """
         name = self._random_node()
         if name is None:
             return
@@ -621,6 +636,13 @@
         process = self._fleet.processes[name]
         process.run_or_queue(gateway.drain)
         gateway.stopped.addCallback(lambda _: self._end_stop(name))
+        if self._happens(0.4):
+            delay_s = self._rng.uniform(0, _STOP_LIMIT_S)
+            self._call_after(delay_s, self._kill_stopping, name, gateway)
+
+    def _kill_stopping(self, name: str, gateway: Gateway) -> None:
+        if not gateway.stopped.called:
+            self._end_stop(name)
 
     def _end_stop(self, name: str) -> None:
         self._call_after(0, self._fleet.kill, name)
--- a/packages/testing/radishtray_testing/gateway_builders.py
+++ b/packages/testing/radishtray_testing/gateway_builders.py
@@ -559,8 +559,8 @@
         """Returns the open connections of callers to a gateway."""
         return self._open_connections(self._members[name].ports[0])
 
-    def gossip_port(self, name: str) -> int:
-        """Returns the UDP port of a gateway."""
+    def node_port(self, name: str) -> int:
+        """Returns the TCP and UDP port of a gateway for other nodes."""
         return self._members[name].ports[3]
 
     def _open_connections(
