--- a/packages/node/radishtray_node/tests/test_upstream_processes.py
+++ b/packages/node/radishtray_node/tests/test_upstream_processes.py
@@ -80,7 +80,8 @@
     """The probe is refused after the successor's report and first request."""
     replacement = Replacement()
     network = replacement.fleet.network
-    connect = network.connectTCP
+    process = replacement.fleet.processes["n"]
+    connect = process.connectTCP
     lost = replacement.send("r1")
     replacement.first.close()
     replacement.lose_connections(replacement.first)
@@ -89,7 +90,7 @@
         network.callLater(CONNECT_S, lambda: connect(*arguments, **options))
 
     with monkeypatch.context() as patches:
-        patches.setattr(network, "connectTCP", connect_slowly)
+        patches.setattr(process, "connectTCP", connect_slowly)
         network.advance(0)
     replacement.report_second()
     running = replacement.send("r2")
