--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -6,8 +6,9 @@
 from radishtray_node._call_result import CallResult
 from radishtray_node._incoming_call import IncomingCall
 from radishtray_node._metrics import Metrics
-from radishtray_node._peer_link import PeerLink, SendFailure, SentAttempt
+from radishtray_node._peer_link import PeerLink
 from radishtray_node._running_request import LEVELS_PER_CLASS
+from radishtray_node._sent_attempt import SendFailure, SentAttempt
 from radishtray_node._timers import TimerWheel
 from radishtray_node._unknown_outcomes import UnknownOutcomes
 from radishtray_node._upstream_server import UpstreamServer
@@ -382,14 +383,19 @@
 
     def abandon_link(self, node_id: str) -> None:
         """Ends attempts at a node's former address as unknown."""
-        link = self._links.get(node_id)
+        link = self._remove_link(node_id)
         if link is not None:
             link.give_up_attempts()
-            self._close_link(node_id)
+            link.close()
 
-    def _close_link(self, node_id: str) -> None:
+    def _remove_link(self, node_id: str) -> PeerLink | None:
         self._gone_nodes.discard(node_id)
-        self._links.pop(node_id).close()
+        return self._links.pop(node_id, None)
+
+    def _close_link(self, node_id: str) -> None:
+        link = self._remove_link(node_id)
+        if link is not None:
+            link.close()
 
     @property
     def outstanding_attempts(self) -> int:
--- a/packages/node/radishtray_node/_outgoing_call.py
+++ b/packages/node/radishtray_node/_outgoing_call.py
@@ -8,8 +8,8 @@
 from typing import TYPE_CHECKING
 
 from radishtray_node._call_result import CallResult
-from radishtray_node._peer_link import SendFailure, SentAttempt
 from radishtray_node._running_request import RunningRequest
+from radishtray_node._sent_attempt import SendFailure, SentAttempt
 from radishtray_node._timers import Timer
 from radishtray_protocol import RequestKind, wire
 from radishtray_state import (
--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from radishtray_node._call_result import CallResult
-from radishtray_node._peer_link import SendFailure, SentAttempt
+from radishtray_node._sent_attempt import SendFailure, SentAttempt
 from radishtray_node._timers import Timer
 from radishtray_protocol import Route, wire
 from radishtray_state import RefusalReason
--- a/packages/testing/radishtray_testing/tests/test_answer_simulation.py
+++ b/packages/testing/radishtray_testing/tests/test_answer_simulation.py
@@ -60,8 +60,7 @@
 
 
 def _close_link_at_once(router: CallRouter, node_id: str) -> None:
-    if node_id in router._links:
-        router._close_link(node_id)
+    router._close_link(node_id)
 
 
 def _unverified_result(call: RoutedCall, answer: wire.Answer) -> CallResult:
