--- a/packages/testing/radishtray_testing/answer_simulation.py
+++ b/packages/testing/radishtray_testing/answer_simulation.py
@@ -9,27 +9,25 @@
 """
 
 import argparse
-import logging
 import sys
 import traceback
 from collections import Counter
-from collections.abc import Callable, Iterator
-from contextlib import ExitStack, contextmanager
+from collections.abc import Callable
 from functools import partial
 from operator import itemgetter
 from random import Random
-from types import SimpleNamespace
-from typing import Any, Final, NamedTuple
-from unittest import mock
+from typing import Final
 
-from twisted.logger import globalLogPublisher
-
-from radishtray_node import Gateway, _application, _gateway
+from radishtray_node import Gateway
 from radishtray_protocol import Route
-from radishtray_state import _outstanding_attempts
+from radishtray_testing._answer_checks import (
+    SentRequest,
+    Violation,
+    check_request,
+)
+from radishtray_testing._seeded_nodes import recorded_errors, seeded_nodes
 from radishtray_testing.gateway_builders import (
     HEADER_NAMES,
-    CallerResult,
     FakeGatewayUpstream,
     GatewayFleet,
     build_route,
@@ -51,8 +49,6 @@
 _STOP_LIMIT_S: Final = 1.5
 # Longer than the longest route timeout, upstream run and pause.
 _SETTLE_S: Final = 5.0
-_NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
-_OWN_STATUSES: Final = _NOT_RUN_STATUSES | {502, 504}
 _RESTART_DELAYS_S: Final = (0.005, 0.02, 0.1, 0.3, 1.0)
 _GOSSIP_DELAYS_S: Final = (0.1, 0.3, 0.8, 1.5, 4.5)
 _PAUSES_S: Final = (0.05, 0.3, 0.9, 2.0)
@@ -72,134 +68,6 @@
     return method
 
 
-class Violation(NamedTuple):
-    """A check that a run has failed.
-
-    Attributes:
-        check: Name of the check.
-        detail: What was seen.
-    """
-
-    check: str
-    detail: str
-
-
-class _SentRequest:
-    """One request of a caller, and its runs at upstreams.
-
-    Attributes:
-        request_id: Id of the request.
-        entry: Node id of the gateway that it was sent to.
-        route: Route of its path.
-        body: Its body.
-        sent_s: When it was sent.
-        due_s: When its deadline is.
-        result: What its caller has got.
-        has_left: Whether its caller has disconnected before an answer.
-        runs: Number of times that an upstream started to run it.
-        statuses: Statuses that upstreams have answered it with.
-    """
-
-    __slots__ = (
-        "body",
-        "due_s",
-        "entry",
-        "has_left",
-        "request_id",
-        "result",
-        "route",
-        "runs",
-        "sent_s",
-        "statuses",
-    )
-
-    def __init__(
-        self,
-        request_id: str,
-        entry: str,
-        route: Route,
-        body: bytes,
-        sent_s: float,
-        due_s: float,
-        result: CallerResult,
-    ) -> None:
-        self.request_id = request_id
-        self.entry = entry
-        self.route = route
-        self.body = body
-        self.sent_s = sent_s
-        self.due_s = due_s
-        self.result = result
-        self.has_left = False
-        self.runs = 0
-        self.statuses: set[int] = set()
-
-    def __str__(self) -> str:
-        result = self.result
-        seen = result.status or result.failure or "nothing"
-        return (
-            f"{self.request_id} ({self.route.name}) sent to {self.entry} at "
-            f"{self.sent_s:.3f} s, due at {self.due_s:.3f} s, ended at "
-            f"{result.ended_s} s with {seen}, runs {self.runs}, upstream "
-            f"statuses {sorted(self.statuses)}"
-        )
-
-
-class _LoggedErrors(logging.Handler):
-    """Collects logged errors and exceptions, of `logging` and of Twisted."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.texts: list[str] = []
-
-    def emit(self, record: logging.LogRecord) -> None:
-        """Keeps the record of an error or of any exception."""
-        if record.levelno >= logging.ERROR or record.exc_info:
-            self.texts.append(self.format(record))
-
-    def observe(self, event: dict[str, Any]) -> None:
-        """Keeps a Twisted log event with a failure."""
-        failure = event.get("log_failure")
-        if failure is not None:
-            self.texts.append(failure.getTraceback())
-
-
-@contextmanager
-def _recorded_errors() -> Iterator[list[str]]:
-    """Yields a list to which errors are added that are logged meanwhile."""
-    errors = _LoggedErrors()
-    root = logging.getLogger()
-    root.addHandler(errors)
-    globalLogPublisher.addObserver(errors.observe)
-    try:
-        yield errors.texts
-    finally:
-        globalLogPublisher.removeObserver(errors.observe)
-        root.removeHandler(errors)
-
-
-@contextmanager
-def _seeded_nodes(rng: Random) -> Iterator[None]:
-    """Has new gateways take their random numbers from `rng`.
-
-    Gateways also leave the settings of the garbage collector as they are.
-    """
-
-    def new_random() -> Random:
-        return Random(rng.getrandbits(64))
-
-    secrets = SimpleNamespace(randbits=rng.getrandbits)
-    with ExitStack() as stack:
-        for module, name, value in (
-            (_gateway, "random", SimpleNamespace(Random=new_random)),
-            (_gateway, "gc", mock.Mock()),
-            (_application, "secrets", secrets),
-            (_outstanding_attempts, "secrets", secrets),
-        ):
-            stack.enter_context(mock.patch.object(module, name, value))
-        yield
-
-
 class Simulation:
     """One run: a fleet, its callers and its faults.
 
@@ -229,7 +97,7 @@
         """Draws the fleet of a seed and starts it."""
         self._rng = rng = Random(seed)
         self.fault_counts: Counter[str] = Counter()
-        self.requests: dict[str, _SentRequest] = {}
+        self.requests: dict[str, SentRequest] = {}
         self._entries = [f"e{n}" for n in range(rng.randint(2, 4))]
         self._nodes = [f"n{n}" for n in range(rng.randint(2, 4))]
         self._routes = [
@@ -373,7 +241,7 @@
             body=body,
             caller=caller,
         )
-        request = _SentRequest(
+        request = SentRequest(
             request_id,
             entry,
             route,
@@ -393,13 +261,13 @@
             self._call_after(rng.uniform(0, 1.0), self._leave, request)
 
     def _follow(
-        self, request: _SentRequest, send_next: Callable[[], None]
+        self, request: SentRequest, send_next: Callable[[], None]
     ) -> None:
         is_over = self._network.seconds() >= self._load_end_s
         if not is_over and request.result.answer is not None:
             self._call_after(0, send_next)
 
-    def _leave(self, request: _SentRequest) -> None:
+    def _leave(self, request: SentRequest) -> None:
         pending = request.result.pending
         if request.result.ended_s is None and pending is not None:
             request.has_left = True
@@ -430,7 +298,7 @@
         self,
         upstream: FakeGatewayUpstream,
         http: HttpRequest,
-        request: _SentRequest,
+        request: SentRequest,
     ) -> None:
         rng = self._rng
         status = 500 if self._happens(0.3) else 200
@@ -669,42 +537,13 @@
         for request in self.requests.values():
             found += (
                 Violation(check, f"{detail}{request}")
-                for check, detail in self._check_request(request)
+                for check, detail in check_request(
+                    request, self._answer_bound_s(request)
+                )
             )
         return found
 
-    def _check_request(
-        self, request: _SentRequest
-    ) -> Iterator[tuple[str, str]]:
-        """Yields the name and a detail of each check that fails."""
-        result = request.result
-        if request.runs > 1 and not request.route.is_repeatable:
-            yield "ran_twice", ""
-        if result.answer is not None:
-            yield from self._check_answer(request)
-        if request.has_left:
-            return
-        bound_s = self._answer_bound_s(request)
-        if result.ended_s is None or result.ended_s > bound_s:
-            yield "late", f"later than {bound_s:.3f} s: "
-
-    @staticmethod
-    def _check_answer(request: _SentRequest) -> Iterator[tuple[str, str]]:
-        answer = request.result.answer
-        assert answer is not None
-        if answer.header(HEADER_NAMES.signature) is None:
-            if answer.status not in _OWN_STATUSES:
-                yield "unsigned_status", ""
-            if answer.status in _NOT_RUN_STATUSES and request.runs:
-                yield "refused_but_ran", ""
-            return
-        stated_id = answer.header(HEADER_NAMES.request_id)
-        if answer.body != request.body or stated_id != request.request_id:
-            yield "mixed", f"got the answer to {stated_id}: "
-        elif answer.status not in request.statuses:
-            yield "other_status", ""
-
-    def _answer_bound_s(self, request: _SentRequest) -> float:
+    def _answer_bound_s(self, request: SentRequest) -> float:
         """Returns the latest allowed time of a request's answer.
 
         While an entry node is paused it can't answer, and the deadline of a
@@ -735,7 +574,7 @@
         The simulation after its run, and the checks that failed.
     """
     rng = Random(f"nodes {seed}")
-    with _seeded_nodes(rng), _recorded_errors() as errors:
+    with seeded_nodes(rng), recorded_errors() as errors:
         simulation = Simulation(seed)
         try:
             simulation.run()
