Let upstreams of radishtray-node repeat the id of a send

Cause: on the product's own upstream interface no id connects an answer with its request. A second answer that arrives while the next request is on the connection is taken for its answer, the true answer then for that of the request after it, and so on. Forwarding by route was not affected: its upstreams repeat the request's id.

Change: each request to an upstream has a Radishtray-Send-Id, different for each send of the node. An answer that states another one is dropped and its connection is closed after the request. An answer that states none is accepted as before, since the header is new: such an upstream gains nothing. UpstreamServer takes its forwarding as a required argument, since LocalUpstream needs the response rules of the same one.

Evidence: test_a_second_answer_of_an_upstream_is_not_delivered_to_another failed before (the second caller got the first answer) and passes.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -14,6 +14,7 @@
 from radishtray_node._control_frames import ControlFrameDispatcher
 from radishtray_node._entry import Entry
 from radishtray_node._fleet import Fleet
+from radishtray_node._forwarding import ContextForwarding
 from radishtray_node._listeners import Listeners
 from radishtray_node._local_upstream import LocalUpstream
 from radishtray_node._metrics import Metrics
@@ -128,6 +129,7 @@
             self.clock,
             answer_size=_answer_size_bytes,
         )
+        forwarding = ContextForwarding()
         self.upstream = LocalUpstream(
             reactor,
             self.clock,
@@ -136,6 +138,7 @@
             self.suspects,
             self._on_upstream_change,
             self._on_upstream_crash,
+            forwarding.response_rules,
         )
         self.server = UpstreamServer(
             self.clock,
@@ -146,6 +149,7 @@
             self.metrics,
             self._key_not_owned,
             self._refuses_calls,
+            forwarding,
         )
         self.router = CallRouter(
             settings.node_id,
--- a/packages/node/radishtray_node/_forwarding.py
+++ b/packages/node/radishtray_node/_forwarding.py
@@ -5,6 +5,7 @@
 unchanged with their context in configurable headers.
 """
 
+import itertools
 from typing import Protocol
 
 from radishtray_node._running_request import RunningRequest
@@ -22,6 +23,7 @@
 CONTEXT_HEADER = "Radishtray-Context"
 DEADLINE_HEADER = "Radishtray-Deadline-Ms"
 REQUEST_ID_HEADER = "Radishtray-Request-Id"
+SEND_ID_HEADER = "Radishtray-Send-Id"
 KEY_HEADER = "Idempotency-Key"
 HOST_HEADER = "Host"
 # Statuses that tell a caller that the request was not executed, so that it may
@@ -76,14 +78,19 @@
 class ContextForwarding:
     """Forwarding over the product's own upstream interface.
 
-    Adds the context handle, the deadline and the request id as headers.
+    Adds the context handle, the deadline, the request id and the id of the
+    send as headers. If the upstream repeats the id of the send, a late answer
+    to an earlier request on the same connection is detected.
     """
 
-    __slots__ = ("response_rules", "uses_handles")
+    __slots__ = ("_send_numbers", "response_rules", "uses_handles")
 
     def __init__(self) -> None:
-        """Uses the default response rules."""
-        self.response_rules = ResponseRules()
+        """Starts to number the sends of this process."""
+        self._send_numbers = itertools.count(1)
+        self.response_rules = ResponseRules(
+            request_id_header=SEND_ID_HEADER, requires_request_id=False
+        )
         self.uses_handles = True
 
     def send(
@@ -99,6 +106,7 @@
     ) -> PendingRequest:
         """Sends a call; see `Forwarding.send`."""
         del instance
+        send_id = str(next(self._send_numbers))
         headers = [
             *call.headers,
             CONTEXT_HEADER,
@@ -107,11 +115,19 @@
             str(left_ms),
             REQUEST_ID_HEADER,
             request.request_id.hex(),
+            SEND_ID_HEADER,
+            send_id,
         ]
         if request.key is not None:
             headers += [KEY_HEADER, request.key]
         return client.request(
-            call.method, call.path, headers, call.body, on_response, on_failure
+            call.method,
+            call.path,
+            headers,
+            call.body,
+            on_response,
+            on_failure,
+            expected_request_id=send_id,
         )
 
     def rejection_reason(self, response: HttpResponse) -> RefusalReason | None:
--- a/packages/node/radishtray_node/_upstream_server.py
+++ b/packages/node/radishtray_node/_upstream_server.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from radishtray_node._call_result import CallResult
-from radishtray_node._forwarding import ContextForwarding, Forwarding
+from radishtray_node._forwarding import Forwarding
 from radishtray_node._incoming_call import DoneCallback, IncomingCall
 from radishtray_node._local_upstream import LocalUpstream
 from radishtray_node._metrics import Metrics
@@ -70,7 +70,7 @@
         metrics: Metrics,
         on_key_not_owned: Callable[[], None],
         would_calls_be_refused: Callable[[wire.Call], bool],
-        forwarding: Forwarding | None = None,
+        forwarding: Forwarding,
     ) -> None:
         """Creates a server without calls.
 
@@ -85,10 +85,10 @@
                 by its own slot table, does not own.
             would_calls_be_refused: Returns whether a service that the upstream
                 calls for this kind is known to refuse the request.
-            forwarding: How calls are sent to the upstream; by default
-                `ContextForwarding`.
+            forwarding: How calls are sent to the upstream; `upstream` uses its
+                response rules.
         """
-        self.forwarding = forwarding or ContextForwarding()
+        self.forwarding = forwarding
         self.would_calls_be_refused = would_calls_be_refused
         self.on_key_not_owned = on_key_not_owned
         self.clock = clock
--- a/packages/node/radishtray_node/tests/test_node_faults.py
+++ b/packages/node/radishtray_node/tests/test_node_faults.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from radishtray_node._forwarding import SEND_ID_HEADER
 from radishtray_node._peer_link import IDLE_TIMEOUT_S, PING_TIMEOUT_S
 from radishtray_protocol import wire
 from radishtray_testing.node_builders import (
@@ -321,3 +322,23 @@
     assert bench.a.entry.active == 0
     assert bench.a.router.outstanding_attempts == 0
     assert bench.b.upstream_server.unfinished_calls == 0
+
+
+def test_a_second_answer_of_an_upstream_is_not_delivered_to_another() -> None:
+    bench = Bench()
+    bench.send("/s/read")
+    first = bench.upstream.open.pop(0)
+    channel = first.channel
+    send_id = (first.header(SEND_ID_HEADER.encode()) or b"").decode()
+    first.respond(200, [SEND_ID_HEADER, send_id], b"first")
+    bench.run(0.1)
+    bench.send("/s/read")
+    second = bench.upstream.open.pop(0)
+    assert second.channel is channel, "the connection is used again"
+    head = f"HTTP/1.1 200 OK\r\n{SEND_ID_HEADER}: {send_id}\r\n"
+    channel.writer.write(f"{head}Content-Length: 5\r\n\r\nfirst".encode())
+    bench.run(0.1)
+    other_id = (second.header(SEND_ID_HEADER.encode()) or b"").decode()
+    second.respond(200, [SEND_ID_HEADER, other_id], b"second")
+    bench.run(1)
+    assert [bench.caller.result_text(n) for n in (0, 1)] == ["first", "second"]
--- a/packages/testing/radishtray_testing/node_builders.py
+++ b/packages/testing/radishtray_testing/node_builders.py
@@ -9,6 +9,7 @@
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
 from radishtray_node._entry import Entry
+from radishtray_node._forwarding import ContextForwarding
 from radishtray_node._local_upstream import Announcement, LocalUpstream
 from radishtray_node._metrics import Metrics
 from radishtray_node._node_server import NodeServer
@@ -230,6 +231,7 @@
         self.key_owner: KeyOwner[CallResult] = KeyOwner(
             node_id, incarnation, self.clock
         )
+        forwarding = ContextForwarding()
         self.local_upstream = LocalUpstream(
             network,
             self.clock,
@@ -238,6 +240,7 @@
             self.crash_suspects,
             lambda: None,
             self._upstream_crashed,
+            forwarding.response_rules,
         )
         self.upstream_server = UpstreamServer(
             self.clock,
@@ -248,6 +251,7 @@
             self.metrics,
             lambda: None,
             lambda _call: False,
+            forwarding,
         )
         self.router = CallRouter(
             node_id,
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -293,8 +293,8 @@
         if not self._id_header or not expected_id:
             return
         if self._stated_id is None:
-            self._is_unidentified = True
-            if self._status != _SERVICE_UNAVAILABLE:
+            self._is_unidentified = self._rules.requires_request_id
+            if self._is_unidentified and self._status != _SERVICE_UNAVAILABLE:
                 self._is_invalid = True
         else:
             self._is_for_other_request = (
--- a/packages/transport/radishtray_transport/_http_exchange.py
+++ b/packages/transport/radishtray_transport/_http_exchange.py
@@ -95,20 +95,27 @@
             Transfer-Encoding is complete when the server closes the
             connection without an error.
         request_id_header: Header in which the server repeats the request's id;
-            empty if it does not. A response with another id is dropped. One
-            without an id fails the request, except for a 503 without a body,
-            which is reported without its headers.
+            empty if it does not. A response with another id is dropped.
+        requires_request_id: Whether a response without an id fails the
+            request, except for a 503 without a body, which is reported without
+            its headers. Otherwise it is accepted.
         idle_limit_s: Seconds after which an idle connection is not reused,
             unless the server's Keep-Alive header states a shorter time.
     """
 
-    __slots__ = ("allows_close_delimited", "idle_limit_s", "request_id_header")
+    __slots__ = (
+        "allows_close_delimited",
+        "idle_limit_s",
+        "request_id_header",
+        "requires_request_id",
+    )
 
     def __init__(
         self,
         allows_close_delimited: bool = False,
         request_id_header: str = "",
         idle_limit_s: float = 3600.0,
+        requires_request_id: bool = True,
     ) -> None:
         """Validates the rules.
 
@@ -119,6 +126,7 @@
             raise ValueError("idle_limit_s must be positive")
         self.allows_close_delimited = allows_close_delimited
         self.request_id_header = request_id_header.lower()
+        self.requires_request_id = requires_request_id
         self.idle_limit_s = idle_limit_s
 
 
