--- a/packages/testing/radishtray_testing/_upstream_work.py
+++ b/packages/testing/radishtray_testing/_upstream_work.py
@@ -8,8 +8,10 @@
 import json
 import os
 import random
+import time
 from collections import Counter, deque
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 from weakref import WeakSet
 
@@ -140,7 +142,7 @@
 
     def _start_next_call(self) -> None:
         if not self._remaining_calls:
-            self._finish(200, {"done": True})
+            self._finish(200, self._worker.describe_success(self.request))
             return
         call = self._remaining_calls.popleft()
         context = self.request.header(CONTEXT_HEADER.encode())
@@ -189,6 +191,47 @@
         self._worker.remove_job(self)
 
 
+class RunLog:
+    """File with one JSON line for each started run.
+
+    A line is in the file before the run begins and outlives the process, so
+    that the runs of a killed upstream are known.
+    """
+
+    __slots__ = ("_file_descriptor",)
+
+    def __init__(self, path: Path) -> None:
+        """Opens the file, which may have lines of earlier processes.
+
+        Raises:
+            OSError: If the file cannot be opened.
+        """
+        self._file_descriptor = os.open(
+            path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644
+        )
+
+    def append(self, request: HttpRequest) -> None:
+        """Appends a line with the ids of a request whose run begins."""
+        line = {"at_s": time.time(), **describe_request(request)}
+        os.write(self._file_descriptor, json.dumps(line).encode() + b"\n")
+
+
+def describe_request(request: HttpRequest) -> dict[str, str]:
+    """Returns the ids and the target of a request as JSON values."""
+    headers = {
+        "send_id": TEST_RUN_ID_HEADER,
+        "key": IDEMPOTENCY_KEY_HEADER,
+        "chain_id": REQUEST_ID_HEADER,
+    }
+    return {
+        "target": request.uri.decode("latin-1"),
+        **{
+            name: (request.header(header.encode()) or b"").decode("latin-1")
+            for name, header in headers.items()
+        },
+    }
+
+
 class UpstreamWorker:
     """Runs requests in a fixed number of slots; others wait in a FIFO queue.
 
@@ -207,8 +250,10 @@
     """
 
     __slots__ = (
+        "_echoes_requests",
         "_plan",
         "_rng",
+        "_run_log",
         "_running_jobs",
         "_sample_service_time",
         "_silenced_connections",
@@ -232,6 +277,9 @@
         slots: int,
         rng: random.Random,
         distribution: str = "exponential",
+        *,
+        echoes_requests: bool = False,
+        run_log: RunLog | None = None,
     ) -> None:
         """Creates a worker without requests or faults.
 
@@ -242,7 +290,12 @@
             slots: Number of requests that may run at the same time.
             rng: Random number generator for the service times.
             distribution: Name of the service time distribution.
+            echoes_requests: Whether successes repeat the ids and the body of
+                the request.
+            run_log: Where started runs are written; None for nowhere.
         """
+        self._echoes_requests = echoes_requests
+        self._run_log = run_log
         self.reactor = reactor
         self.node_client = node_client
         self.faults = Faults()
@@ -299,6 +352,13 @@
         mean_s = plan.mean_service_time_s * self.faults.slow_factor
         return self._sample_service_time(self._rng, mean_s) if mean_s else 0.0
 
+    def describe_success(self, request: HttpRequest) -> dict[str, Any]:
+        """Returns the body of a success as JSON values."""
+        if not self._echoes_requests:
+            return {"done": True}
+        body = request.body.decode("latin-1")
+        return {"done": True, **describe_request(request), "body": body}
+
     def is_silenced(self, request: HttpRequest) -> bool:
         """Returns whether the `silence_open` fault hit this connection."""
         return request.channel in self._silenced_connections
@@ -314,6 +374,8 @@
             self._start_job(self._waiting_jobs.popleft())
 
     def _start_job(self, job: _Job) -> None:
+        if self._run_log is not None:
+            self._run_log.append(job.request)
         self._running_jobs.add(job)
         self.counters["begun"] += 1
         self._count_by_header(
--- a/packages/testing/radishtray_testing/upstream_standin.py
+++ b/packages/testing/radishtray_testing/upstream_standin.py
@@ -17,6 +17,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any, TextIO
 
 from twisted.internet import reactor as default_reactor
@@ -25,6 +26,7 @@
 from radishtray_testing._upstream_work import (
     SERVICE_TIME_SAMPLERS,
     Faults,
+    RunLog,
     UpstreamWorker,
 )
 from radishtray_testing._work_plan import WorkPlan
@@ -78,6 +80,8 @@
             options.slots,
             random.Random(options.seed),
             options.distribution,
+            echoes_requests=options.echo,
+            run_log=RunLog(options.run_log) if options.run_log else None,
         )
         limits = HttpLimits(connections=10_000, idle_s=3600.0)
         self._request_server = HttpServer(reactor, self._handle_request, limits)
@@ -127,9 +131,10 @@
 
     def _announce(self) -> None:
         options = self._options
+        port = options.announced_port or self._request_server.port
         announcement = {
             "service": options.service,
-            "address": f"{options.host}:{self._request_server.port}",
+            "address": f"{options.host}:{port}",
             "slots": options.announced_slots or options.slots,
             "cold_start_s": options.cold_start_s,
             "instance": str(os.getpid()),
@@ -217,6 +222,18 @@
         help="interval in seconds between the samples that /load returns",
     )
     add("--seed", type=int, default=1)
+    add(
+        "--announced-port",
+        type=int,
+        default=0,
+        help="port announced to the node; 0 for the port listened on",
+    )
+    add(
+        "--echo",
+        action="store_true",
+        help="successes repeat the ids and the body of the request",
+    )
+    add("--run-log", type=Path, help="file for one JSON line for each run")
     return parser
 
 
