Soak: disturb the connections to upstreams, and shorten the modules

Nodes advertise the port that they listen on, so connections between nodes cannot go through a proxy with the existing flags. Free ports and the faults of the platform stand-in are now part of processes.py.

--- a/packages/testing/radishtray_testing/_soak_deployment.py
+++ b/packages/testing/radishtray_testing/_soak_deployment.py
@@ -1,279 +1,172 @@
 """The processes of a soak, with fixed ports so that each can be restarted."""
 
 import json
-import random
-import socket
+import signal
 import threading
-import urllib.request
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import NamedTuple
 
+from radishtray_testing._soak_proxy import LinkProxy
 from radishtray_testing.processes import (
-    LOOPBACK,
     LocalDeployment,
     ManagedProcess,
+    find_free_ports,
 )
 
-# Below the range from which Linux takes the ports of outgoing connections, so
-# that no connection occupies the port of a process that is being restarted.
-_FIRST_PORT, _LAST_PORT = 12_000, 32_000
-_PORT_FLAGS = ("caller", "upstream", "node", "gossip", "operator")
-_DEADLINE_MS = 8_000
-SLOTS_PER_UPSTREAM = 30
-_KINDS = {
-    "shop": {
-        "read": "{method: GET, path: /read, %s}",
-        "slow": "{method: GET, path: /slow, %s}",
-        "write": "{method: POST, path: /write, %s}",
-        "buy": "{method: POST, path: /buy, at_most_once: true, %s}",
-        "order": (
-            "{method: POST, path: /order, at_most_once: true,"
-            " calls: [bank/pay], %s}"
-        ),
-    },
-    "bank": {"pay": "{method: POST, path: /pay, at_most_once: true, %s}"},
-}
-_WORK_PLAN = {
-    "read": {"ms": 30},
-    "slow": {"ms": 1_000},
-    "write": {"ms": 40},
-    "buy": {"ms": 40},
-    "order": {"ms": 20, "calls": ["POST /call/bank/pay"]},
-    "pay": {"ms": 20},
-}
-
-
-class Run:
-    """A run of a request as an upstream recorded it when it began.
-
-    Attributes:
-        node_id: Id of the node beside the upstream.
-        at_s: Wall time of the beginning in seconds.
-        target: Request target.
-        send_id: Id of the caller's send; empty for a call of an upstream.
-        key: Idempotency key; empty if there was none.
-        chain_id: Id of the whole chain of calls.
-    """
-
-    __slots__ = ("at_s", "chain_id", "key", "node_id", "send_id", "target")
-
-    def __init__(
-        self,
-        node_id: str,
-        at_s: float,
-        target: str,
-        send_id: str,
-        key: str,
-        chain_id: str,
-    ) -> None:
-        """Creates a run."""
-        self.node_id = node_id
-        self.at_s = at_s
-        self.target = target
-        self.send_id = send_id
-        self.key = key
-        self.chain_id = chain_id
-
-
-class PortAllocator:
-    """Chooses ports that are free and stay free for restarted processes."""
-
-    __slots__ = ("_chosen", "_rng")
-
-    def __init__(self) -> None:
-        """Creates an allocator that has chosen no port."""
-        self._rng = random.SystemRandom()
-        self._chosen: set[int] = set()
+PLATFORM = "platform"
+_LISTENERS = ("caller", "upstream", "node", "gossip", "operator")
+_STOP_TIMEOUT_S = 120.0
+_CONFIGURATION = """\
+format: 1
+defaults: {owner: soak, deadline_ms: 8000}
+services:
+  bank:
+    owner: soak
+    kinds:
+      pay: {method: POST, path: /pay, at_most_once: true}
+  shop:
+    owner: soak
+    kinds:
+      read: {method: GET, path: /read}
+      slow: {method: GET, path: /slow}
+      write: {method: POST, path: /write}
+      buy: {method: POST, path: /buy, at_most_once: true}
+      order: {method: POST, path: /order, at_most_once: true, calls: [bank/pay]}
+"""
+_ADDED_KIND = "      extra-{0}: {{method: GET, path: /extra-{0}}}\n"
+_WORK_PLAN = (
+    '{"slow": {"ms": 1000}, "order": {"calls": ["POST /call/bank/pay"]}}'
+)
 
-    def allocate(self) -> int:
-        """Returns a port that is free for TCP and UDP on all addresses."""
-        while True:
-            port = self._rng.randint(_FIRST_PORT, _LAST_PORT)
-            if port not in self._chosen and _is_free(port):
-                self._chosen.add(port)
-                return port
 
+class Run(NamedTuple):
+    """A run as the upstream beside a node recorded it when it began."""
 
-def _is_free(port: int) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as probe:
-            try:
-                probe.bind(("", port))
-            except OSError:
-                return False
-    return True
+    node_id: str
+    at_s: float
+    target: str
+    send_id: str
+    key: str
+    chain_id: str
 
 
 class SoakDeployment:
     """Nodes with their upstreams and the platform stand-in.
 
-    Two thirds of the nodes stand beside upstreams of `shop`, the others beside
-    upstreams of `bank`, which orders call.
+    Every third node stands beside an upstream of `bank`, which orders call, the
+    others beside upstreams of `shop`.
 
     Attributes:
-        node_ids: Ids of all nodes.
-        entries: Node id and caller port of each node.
+        local: The processes.
+        entries: Caller port of each node by its id.
+        proxies: Proxies before the upstreams of every second node, by node id.
+        newest_kind: Kind that the last accepted configuration added.
     """
 
-    __slots__ = (
-        "_directory",
-        "_local",
-        "_locks",
-        "_node_flags",
-        "_ports",
-        "_published_count",
-        "_services",
-        "_upstream_flags",
-        "entries",
-        "node_ids",
-    )
-
     def __init__(self, directory: Path, node_count: int) -> None:
-        """Starts the platform stand-in; `start` starts the others.
-
-        Args:
-            directory: Directory for logs, run logs and configurations.
-            node_count: Number of nodes, at least 3.
-        """
+        """Chooses the ports and starts the platform stand-in."""
         self._directory = directory
-        self._local = LocalDeployment(directory / "logs")
-        self._ports = PortAllocator()
-        self._services = {
-            f"{service}-{number}": service
-            for number in range(node_count)
-            for service in ["bank" if number % 3 == 2 else "shop"]
-        }
-        self.node_ids = list(self._services)
-        self._locks = {node_id: threading.RLock() for node_id in self.node_ids}
-        self._node_flags: dict[str, list[str]] = {}
-        self._upstream_flags: dict[str, list[str]] = {}
-        self.entries: list[tuple[str, int]] = []
-        self._published_count = 0
-
-    def start(self) -> None:
-        """Starts all processes and waits until they are ready."""
-        for number, node_id in enumerate(self.node_ids):
-            ports = {name: self._ports.allocate() for name in _PORT_FLAGS}
-            self.entries.append((node_id, ports["caller"]))
-            self._node_flags[node_id] = [
+        self.entries: dict[str, int] = {}
+        self.proxies: dict[str, LinkProxy] = {}
+        self.newest_kind = ""
+        self._document = _CONFIGURATION
+        self._flags: dict[tuple[str, str], list[str]] = {}
+        # Held while a node or its upstream is ended and started.
+        self._locks: dict[str, threading.Lock] = {}
+        free_ports = find_free_ports()
+        for number in range(node_count):
+            service = "bank" if number % 3 == 2 else "shop"
+            node_id = f"{service}-{number}"
+            self._locks[node_id] = threading.Lock()
+            ports = {name: next(free_ports) for name in _LISTENERS}
+            self.entries[node_id] = ports["caller"]
+            self._flags["node", node_id] = [
                 f"--{name}-port={port}" for name, port in ports.items()
             ]
-            self._upstream_flags[node_id] = [
-                f"--service={self._services[node_id]}",
-                f"--slots={SLOTS_PER_UPSTREAM}",
-                f"--plan={json.dumps(_WORK_PLAN)}",
-                "--distribution=gamma",
-                f"--seed={number}",
-                f"--port={self._ports.allocate()}",
-                "--echo",
-                f"--run-log={self._directory / f'{node_id}.runs'}",
+            port = announced_port = next(free_ports)
+            if number % 2:
+                announced_port = next(free_ports)
+                self.proxies[node_id] = LinkProxy(announced_port, port)
+            self._flags["upstream", node_id] = [
+                *("--echo", f"--run-log={directory / node_id}.runs"),
+                *(f"--port={port}", f"--announced-port={announced_port}"),
+                *(f"--service={service}", f"--plan={_WORK_PLAN}"),
+                *("--slots=30", "--service-ms=30", f"--seed={number}"),
             ]
-            self.start_node(node_id)
-            self.start_upstream(node_id)
+        self.local = LocalDeployment(directory / "logs")
+
+    def start(self) -> None:
+        """Starts all processes and waits until they are ready."""
+        for node_id in self.entries:
+            self._start_process("node", node_id)
+            self._start_process("upstream", node_id)
         if not self.publish_configuration():
             raise RuntimeError("the first configuration was not accepted")
-        self._local.wait_until_ready(1, len(self.node_ids))
-        self._local.wait_until_key_slots_are_owned(len(_KINDS))
-
-    def lock(self, node_id: str) -> threading.RLock:
-        """Returns the lock of a node and its upstream.
+        self.local.wait_until_ready(1, len(self.entries))
+        self.local.wait_until_key_slots_are_owned(2)
+
+    def process(self, part: str, node_id: str) -> ManagedProcess:
+        """Returns the latest `node`, `upstream` or platform process."""
+        if part == PLATFORM:
+            return self.local.platform
+        if part == "node":
+            return self.local.nodes[node_id]
+        return self.local.upstreams[node_id]
+
+    def _start_process(self, part: str, node_id: str) -> None:
+        flags = self._flags[part, node_id]
+        if part == "node":
+            self.local.start_node(node_id, f"domain-{node_id[-1]}", *flags)
+            return
+        if node_id in self.proxies:
+            self.proxies[node_id].open()
+        self.local.start_upstream(node_id, *flags)
+
+    def restart_process(
+        self,
+        part: str,
+        node_id: str,
+        number: signal.Signals,
+        pause: Callable[[], None],
+    ) -> int:
+        """Ends a `node` or `upstream`, calls `pause` and starts it again.
 
-        It is held while one of them is ended and started, so that faults that
-        overlap do not start a process twice.
+        Returns:
+            The exit code.
         """
-        return self._locks[node_id]
-
-    def node(self, node_id: str) -> ManagedProcess:
-        """Returns the latest process of a node."""
-        return self._local.nodes[node_id]
-
-    def upstream(self, node_id: str) -> ManagedProcess:
-        """Returns the latest process of the upstream beside a node."""
-        return self._local.upstreams[node_id]
-
-    @property
-    def platform(self) -> ManagedProcess:
-        """The platform stand-in."""
-        return self._local.platform
-
-    def start_node(self, node_id: str) -> None:
-        """Starts a node, again with the ports that it had."""
-        domain = f"domain-{self.node_ids.index(node_id) % 3}"
-        self._start(
-            self._local.nodes.get(node_id),
-            lambda: self._local.start_node(
-                node_id, domain, *self._node_flags[node_id]
-            ),
-        )
-
-    def start_upstream(self, node_id: str) -> None:
-        """Starts the upstream beside a node, again with its port."""
-        self._start(
-            self._local.upstreams.get(node_id),
-            lambda: self._local.start_upstream(
-                node_id, *self._upstream_flags[node_id]
-            ),
-        )
-
-    @staticmethod
-    def _start(
-        previous: ManagedProcess | None, start: Callable[[], ManagedProcess]
-    ) -> None:
-        if previous is not None:
-            previous.close()
-        start()
+        with self._locks[node_id]:
+            process = self.process(part, node_id)
+            process.send_signal(number)
+            exit_code = process.wait_for_exit(_STOP_TIMEOUT_S)
+            process.close()
+            if part == "upstream" and node_id in self.proxies:
+                self.proxies[node_id].refuse()
+            pause()
+            self._start_process(part, node_id)
+        return exit_code
 
     def publish_configuration(self) -> bool:
-        """Publishes a configuration with one more kind, `extra-N`.
-
-        Returns:
-            Whether it was accepted.
-        """
-        number = self._published_count + 1
-        lines = ["format: 1", "services:"]
-        for service, kinds in _KINDS.items():
-            lines += [f"  {service}:", "    owner: soak", "    kinds:"]
-            lines += [
-                f"      {name}: {text % f'deadline_ms: {_DEADLINE_MS}'}"
-                for name, text in kinds.items()
-            ]
-            if service == "shop":
-                lines += [
-                    f"      extra-{n}: {{method: GET, path: /extra-{n}}}"
-                    for n in range(1, number + 1)
-                ]
-        document = self._directory / "configuration.yaml"
-        document.write_text("\n".join(lines) + "\n", encoding="utf-8")
-        code, _ = self._local.run_ctl("config", "apply", str(document))
+        """Publishes one more kind; returns whether it was accepted."""
+        number = self._document.count("path: /extra-") + 1
+        document = self._document + _ADDED_KIND.format(number)
+        path = self._directory / f"configuration-{number}.yaml"
+        path.write_text(document, encoding="utf-8")
+        code, _ = self.local.run_ctl("config", "apply", str(path))
         if code == 0:
-            self._published_count = number
+            self._document, self.newest_kind = document, f"extra-{number}"
         return code == 0
 
-    @property
-    def newest_kind(self) -> str:
-        """Name of the kind that the last accepted configuration added."""
-        return f"extra-{self._published_count}"
-
-    def set_platform_faults(self, **faults: Any) -> None:
-        """Replaces the faults of the platform stand-in; none by default."""
-        request = urllib.request.Request(
-            f"http://{LOOPBACK}:{self._local.platform_port}/faults",
-            data=json.dumps(faults).encode(),
-            method="PUT",
-        )
-        with urllib.request.urlopen(request, timeout=60):
-            pass
-
     def read_runs(self) -> list[Run]:
         """Returns all runs that any upstream process has begun."""
-        runs = []
-        for node_id in self.node_ids:
-            path = self._directory / f"{node_id}.runs"
-            for line in path.read_text(encoding="utf-8").splitlines():
-                runs.append(Run(node_id, **json.loads(line)))
-        return runs
+        return [
+            Run(path.stem, **json.loads(line))
+            for path in self._directory.glob("*.runs")
+            for line in path.read_text(encoding="utf-8").splitlines()
+        ]
 
     def close(self) -> None:
         """Kills all processes that are running."""
-        self._local.close()
+        for proxy in self.proxies.values():
+            proxy.close()
+        self.local.close()
--- a/packages/testing/radishtray_testing/processes.py
+++ b/packages/testing/radishtray_testing/processes.py
@@ -6,13 +6,15 @@
 
 import json
 import os
+import random
 import secrets
 import signal
+import socket
 import subprocess
 import sys
 import time
 import urllib.request
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -30,6 +32,21 @@
     "operator-port",
 )
 LOOPBACK = "127.0.0.1"
+# Below the ports that Linux gives to outgoing connections, so that none of them
+# takes the port of a process that is being restarted.
+_FIXED_PORTS = range(12_000, 32_000)
+
+
+def find_free_ports() -> Iterator[int]:
+    """Yields different free ports for processes that may be restarted."""
+    for port in random.SystemRandom().sample(_FIXED_PORTS, len(_FIXED_PORTS)):
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind(("", port))
+        except OSError:
+            continue  # The port is taken.
+        yield port
 
 
 class ManagedProcess:
@@ -247,6 +264,16 @@
         self.upstreams[node_id] = upstream
         return upstream
 
+    def set_platform_faults(self, **faults: Any) -> None:
+        """Replaces the faults of the platform stand-in; none by default."""
+        request = urllib.request.Request(
+            f"http://{LOOPBACK}:{self.platform_port}/faults",
+            data=json.dumps(faults).encode(),
+            method="PUT",
+        )
+        with urllib.request.urlopen(request, timeout=_READY_TIMEOUT_S):
+            pass
+
     def run_ctl(self, *arguments: str) -> tuple[int, str]:
         """Runs radishtrayctl.
 
--- a/packages/testing/radishtray_testing/tests/test_processes.py
+++ b/packages/testing/radishtray_testing/tests/test_processes.py
@@ -15,7 +15,6 @@
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
-from typing import Any
 
 import pytest
 
@@ -181,15 +180,6 @@
     def start_load(self, *kinds: str) -> CallerLoad:
         return CallerLoad(self.local.nodes["entry"].port("caller"), kinds)
 
-    def set_platform_faults(self, **faults: Any) -> None:
-        request = urllib.request.Request(
-            f"http://{LOOPBACK}:{self.local.platform_port}/faults",
-            data=json.dumps(faults).encode(),
-            method="PUT",
-        )
-        with urllib.request.urlopen(request, timeout=30):
-            pass
-
     def start_slow_requests(
         self, pool: ThreadPoolExecutor
     ) -> "list[Future[Answer]]":
@@ -363,11 +353,11 @@
     """All requests must succeed while the platform is down, then refuses."""
     load = deployment.start_load("read", "buy", "write")
     load.wait_for_answers(50)
-    deployment.set_platform_faults(outage=True)
+    deployment.local.set_platform_faults(outage=True)
     load.wait_for_answers(300)
-    deployment.set_platform_faults(refuse=True)
+    deployment.local.set_platform_faults(refuse=True)
     load.wait_for_answers(100)
-    deployment.set_platform_faults()
+    deployment.local.set_platform_faults()
     load.wait_for_answers(50)
     answers = load.stop()
     check_guarantees(answers, deployment.count_runs())
