--- a/packages/testing/radishtray_testing/_soak_deployment.py
+++ b/packages/testing/radishtray_testing/_soak_deployment.py
@@ -4,6 +4,8 @@
 import signal
 import threading
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 from typing import NamedTuple
 
@@ -17,6 +19,7 @@
 PLATFORM = "platform"
 _LISTENERS = ("caller", "upstream", "node", "gossip", "operator")
 _STOP_TIMEOUT_S = 120.0
+_CONCURRENT_STARTS = 8
 _CONFIGURATION = """\
 format: 1
 defaults: {owner: soak, deadline_ms: 8000}
@@ -64,8 +67,13 @@
         newest_kind: Kind that the last accepted configuration added.
     """
 
-    def __init__(self, directory: Path, node_count: int) -> None:
-        """Chooses the ports and starts the platform stand-in."""
+    def __init__(
+        self, directory: Path, node_count: int, late_answer_s: float = 0.0
+    ) -> None:
+        """Chooses the ports and starts the platform stand-in.
+
+        With `late_answer_s`, upstreams send some answers again that much later.
+        """
         self._directory = directory
         self.entries: dict[str, int] = {}
         self.proxies: dict[str, LinkProxy] = {}
@@ -93,14 +101,16 @@
                 *(f"--port={port}", f"--announced-port={announced_port}"),
                 *(f"--service={service}", f"--plan={_WORK_PLAN}"),
                 *("--slots=30", "--service-ms=30", f"--seed={number}"),
+                f"--late-answer-s={late_answer_s}",
             ]
         self.local = LocalDeployment(directory / "logs")
 
     def start(self) -> None:
         """Starts all processes and waits until they are ready."""
-        for node_id in self.entries:
-            self._start_process("node", node_id)
-            self._start_process("upstream", node_id)
+        with ThreadPoolExecutor(_CONCURRENT_STARTS) as pool:
+            for part in ("node", "upstream"):
+                start = partial(self._start_process, part)
+                list(pool.map(start, self.entries))
         if not self.publish_configuration():
             raise RuntimeError("the first configuration was not accepted")
         self.local.wait_until_ready(1, len(self.entries))
--- a/packages/testing/radishtray_testing/_upstream_work.py
+++ b/packages/testing/radishtray_testing/_upstream_work.py
@@ -32,6 +32,7 @@
 CRASH_EXIT_CODE = 70
 _JSON_HEADERS = ["Content-Type", "application/json"]
 _GAMMA_SHAPE_PARAMETER = 4
+_LATE_ANSWER_SHARE = 0.05
 SERVICE_TIME_SAMPLERS: dict[str, Callable[[random.Random, float], float]] = {
     "exponential": lambda rng, mean: rng.expovariate(1 / mean),
     "fixed": lambda rng, mean: mean,
@@ -178,9 +179,10 @@
     def _finish(self, status: int, body: dict[str, Any]) -> None:
         self._worker.remove_job(self)
         if not self._worker.is_silenced(self.request):
-            self.request.respond(
-                status, _JSON_HEADERS, json.dumps(body).encode()
-            )
+            channel = self.request.channel
+            payload = json.dumps(body).encode()
+            self.request.respond(status, _JSON_HEADERS, payload)
+            self._worker.answer_again_later(channel, payload)
 
     def _on_caller_disconnected(self) -> None:
         self._worker.counters["cancelled"] += 1
@@ -251,6 +253,7 @@
 
     __slots__ = (
         "_echoes_requests",
+        "_late_answer_s",
         "_plan",
         "_rng",
         "_run_log",
@@ -280,6 +283,7 @@
         *,
         echoes_requests: bool = False,
         run_log: RunLog | None = None,
+        late_answer_s: float = 0.0,
     ) -> None:
         """Creates a worker without requests or faults.
 
@@ -293,7 +297,10 @@
             echoes_requests: Whether successes repeat the ids and the body of
                 the request.
             run_log: Where started runs are written; None for nowhere.
+            late_answer_s: Time after which some answers are sent a second
+                time on their connection, in seconds; 0 for never.
         """
+        self._late_answer_s = late_answer_s
         self._echoes_requests = echoes_requests
         self._run_log = run_log
         self.reactor = reactor
@@ -359,6 +366,18 @@
         body = request.body.decode("latin-1")
         return {"done": True, **describe_request(request), "body": body}
 
+    def answer_again_later(self, channel: Any, payload: bytes) -> None:
+        """Sends a share of the answers again later, if that fault is on."""
+        if not self._late_answer_s or self._rng.random() > _LATE_ANSWER_SHARE:
+            return
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(payload)}\r\n\r\n"
+
+        def answer_again() -> None:
+            if channel is not None and channel.transport.connected:
+                channel.writer.write(head.encode() + payload)
+
+        self.reactor.callLater(self._late_answer_s, answer_again)
+
     def is_silenced(self, request: HttpRequest) -> bool:
         """Returns whether the `silence_open` fault hit this connection."""
         return request.channel in self._silenced_connections
--- a/packages/testing/radishtray_testing/soak.py
+++ b/packages/testing/radishtray_testing/soak.py
@@ -46,15 +46,20 @@
         self._callers: list[SoakCaller] = []
         self.violations: list[Violation] = []
 
-    def run(self) -> str:
+    def run(self, probed_kinds: tuple[str, ...]) -> str:
         """Runs load and faults, waits for the recovery and checks.
 
+        Args:
+            probed_kinds: Kinds that each entry node has to serve at the end.
+
         Returns:
             A report with all faults and violations.
         """
         self._system.start()
         self._run_load()
-        recovery_s = self._wait_for_recovery()
+        recovery_s = self._wait_for_recovery(
+            (*probed_kinds, self._system.newest_kind)
+        )
         runs = self._system.read_runs()
         sends = [send for caller in self._callers for send in caller.sends]
         observations = Observations(sends, runs, self._plan)
@@ -95,7 +100,7 @@
         rule = "each process starts and ends as asked"
         self.violations += [Violation(rule, error) for error in errors]
 
-    def _wait_for_recovery(self) -> float:
+    def _wait_for_recovery(self, kinds: tuple[str, ...]) -> float:
         """Probes until each entry node serves all kinds several times in a row.
 
         Returns:
@@ -104,7 +109,6 @@
         start_s = time.monotonic()
         for home in self._system.entries:
             prober = self._add_caller("probe", home)
-            kinds = ("read", "write", *KEYED_KINDS, self._system.newest_kind)
             for kind in kinds:
                 served = 0
                 while served < _PROBES_IN_A_ROW:
@@ -119,20 +123,21 @@
         return time.monotonic() - start_s
 
 
-def run_seed(
-    seed: int, seconds: float, node_count: int, directory: Path
-) -> list[Violation]:
-    """Runs one seed and prints its report.
+def run_seed(seed: int, options: argparse.Namespace) -> list[Violation]:
+    """Runs one seed with the options of `build_parser`; prints its report.
 
-    A folder of the seed in `directory` keeps the logs if there is a violation.
+    A folder of the seed keeps the logs if there is a violation.
     """
-    folder = directory / f"seed-{seed}"
+    folder = options.logs / f"seed-{seed}"
     shutil.rmtree(folder, ignore_errors=True)
-    system = SoakDeployment(folder, node_count)
+    system = SoakDeployment(folder, options.nodes, options.late_answer_s)
     try:
-        plan = draw_plan(seed, seconds, [*system.entries], [*system.proxies])
+        plan = draw_plan(
+            seed, options.seconds, [*system.entries], [*system.proxies]
+        )
         soak = Soak(system, seed, plan)
-        report = soak.run()
+        keyed_kinds = () if options.quick else KEYED_KINDS
+        report = soak.run(("read", "write", *keyed_kinds))
     finally:
         system.close()
     print(report, flush=True)
@@ -144,20 +149,27 @@
     return soak.violations
 
 
-def main(argv: list[str] | None = None) -> int:
-    """Runs seeds; returns 1 on a violation that is not known red, else 0."""
+def build_parser() -> argparse.ArgumentParser:
+    """Returns the parser of the command line."""
     parser = argparse.ArgumentParser(prog="soak")
     add = parser.add_argument
     add("--seed", type=int, required=True, help="seed, or the first of several")
     add("--seeds", type=int, default=1, help="number of seeds")
     add("--seconds", type=float, default=20.0, help="time of the faults")
     add("--nodes", type=int, default=6, help="number of nodes, at least 3")
+    add("--quick", action="store_true", help="await no purchases at the end")
+    add("--late-answer-s", type=float, default=0.0, help="see upstream_standin")
     add("--logs", type=Path, help="directory of the logs of failing seeds")
-    options = parser.parse_args(argv)
-    directory = options.logs or Path(tempfile.mkdtemp(prefix="soak-"))
+    return parser
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs seeds; returns 1 on a violation that is not known red, else 0."""
+    options = build_parser().parse_args(argv)
+    options.logs = options.logs or Path(tempfile.mkdtemp(prefix="soak-"))
     violations: list[Violation] = []
     for seed in range(options.seed, options.seed + options.seeds):
-        violations += run_seed(seed, options.seconds, options.nodes, directory)
+        violations += run_seed(seed, options)
     failed = sum(not violation.known_red for violation in violations)
     print(
         f"{options.seeds} seeds, {failed} violations,"
--- a/packages/testing/radishtray_testing/tests/test_upstream_standin.py
+++ b/packages/testing/radishtray_testing/tests/test_upstream_standin.py
@@ -4,14 +4,20 @@
 slot, they would pass or fail for the wrong reason.
 """
 
+import json
 import random
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
 from twisted.internet.task import Clock
 
-from radishtray_testing._upstream_work import Faults, UpstreamWorker
+from radishtray_testing._upstream_work import (
+    Faults,
+    RunLog,
+    UpstreamWorker,
+)
 from radishtray_testing._work_plan import WorkPlan
 from radishtray_transport import HttpResponse
 
@@ -64,7 +70,7 @@
 class WorkerHarness:
     """A worker with one slot, fixed service times and a simulated clock."""
 
-    def __init__(self, call_status: int = 200) -> None:
+    def __init__(self, call_status: int = 200, **options: Any) -> None:
         """Creates the worker; its sub-calls get `call_status`."""
         self.clock = Clock()
         self.node_client = FakeNodeClient(call_status)
@@ -75,6 +81,7 @@
             1,
             random.Random(1),
             distribution="fixed",
+            **options,
         )
 
     def send(self, path: str, key: str | None = None) -> FakeRequest:
@@ -121,6 +128,24 @@
     assert harness.worker.runs_by_key == {"a": 2, "b": 1}
 
 
+def test_run_log_keeps_the_runs_of_earlier_processes(tmp_path: Path) -> None:
+    """A run is in the file as soon as it has begun."""
+    path = tmp_path / "runs"
+    for key in ("a", "b"):
+        WorkerHarness(run_log=RunLog(path)).send("/x", key)
+    lines = [json.loads(line) for line in path.read_text().splitlines()]
+    assert [(line["target"], line["key"]) for line in lines] == [
+        ("/x", "a"),
+        ("/x", "b"),
+    ]
+
+
+def test_echo_repeats_the_ids_and_the_body() -> None:
+    harness = WorkerHarness(echoes_requests=True)
+    answer = harness.worker.describe_success(harness.send("/x", "a"))  # type: ignore[arg-type]
+    assert (answer["target"], answer["key"], answer["body"]) == ("/x", "a", "")
+
+
 def test_disconnect_frees_the_slot_and_is_counted() -> None:
     """The waiting request must run when the running one is cancelled."""
     harness = WorkerHarness()
--- a/packages/testing/radishtray_testing/upstream_standin.py
+++ b/packages/testing/radishtray_testing/upstream_standin.py
@@ -82,6 +82,7 @@
             options.distribution,
             echoes_requests=options.echo,
             run_log=RunLog(options.run_log) if options.run_log else None,
+            late_answer_s=options.late_answer_s,
         )
         limits = HttpLimits(connections=10_000, idle_s=3600.0)
         self._request_server = HttpServer(reactor, self._handle_request, limits)
@@ -233,6 +234,12 @@
         action="store_true",
         help="successes repeat the ids and the body of the request",
     )
+    add(
+        "--late-answer-s",
+        type=float,
+        default=0.0,
+        help="time in seconds after which one answer in twenty is sent again",
+    )
     add("--run-log", type=Path, help="file for one JSON line for each run")
     return parser
 
