--- a/packages/testing/radishtray_testing/soak.py
+++ b/packages/testing/radishtray_testing/soak.py
@@ -23,7 +23,7 @@
 
 # Time after the last fault within which each entry node serves all kinds.
 _RECOVERY_BOUND_S = 240.0
-_CALLERS_PER_NODE = 4
+_MIN_CALLERS = 24
 _LOAD_AFTER_FAULTS_S = 3.0
 _PROBE_INTERVAL_S = 0.5
 _PROBES_IN_A_ROW = 3
@@ -86,7 +86,9 @@
                 args=(stopped,),
             )
             for home in self._system.entries
-            for number in range(_CALLERS_PER_NODE)
+            for number in range(
+                max(1, _MIN_CALLERS // len(self._system.entries))
+            )
         ]
         for thread in threads:
             thread.start()
