--- a/packages/testing/radishtray_testing/_upstream_work.py
+++ b/packages/testing/radishtray_testing/_upstream_work.py
@@ -8,8 +8,10 @@
 import json
 import os
 import random
+import time
 from collections import Counter, deque
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 from weakref import WeakSet
 
@@ -30,6 +32,7 @@
 CRASH_EXIT_CODE = 70
 _JSON_HEADERS = ["Content-Type", "application/json"]
 _GAMMA_SHAPE_PARAMETER = 4
+_LATE_ANSWER_SHARE = 0.05
 SERVICE_TIME_SAMPLERS: dict[str, Callable[[random.Random, float], float]] = {
     "exponential": lambda rng, mean: rng.expovariate(1 / mean),
     "fixed": lambda rng, mean: mean,
@@ -140,7 +143,7 @@
 
     def _start_next_call(self) -> None:
         if not self._remaining_calls:
-            self._finish(200, {"done": True})
+            self._finish(200, self._worker.describe_success(self.request))
             return
         call = self._remaining_calls.popleft()
         context = self.request.header(CONTEXT_HEADER.encode())
@@ -176,9 +179,10 @@
     def _finish(self, status: int, body: dict[str, Any]) -> None:
         self._worker.remove_job(self)
         if not self._worker.is_silenced(self.request):
-            self.request.respond(
-                status, _JSON_HEADERS, json.dumps(body).encode()
-            )
+            channel = self.request.channel
+            payload = json.dumps(body).encode()
+            self.request.respond(status, _JSON_HEADERS, payload)
+            self._worker.answer_again_later(channel, payload)
 
     def _on_caller_disconnected(self) -> None:
         self._worker.counters["cancelled"] += 1
@@ -189,6 +193,47 @@
         self._worker.remove_job(self)
 
 
+class RunLog:
+    """File with one JSON line for each started run.
+
+    A line is in the file before the run begins and outlives the process, so
+    that the runs of a killed upstream are known.
+    """
+
+    __slots__ = ("_file_descriptor",)
+
+    def __init__(self, path: Path) -> None:
+        """Opens the file, which may have lines of earlier processes.
+
+        Raises:
+            OSError: If the file cannot be opened.
+        """
+        self._file_descriptor = os.open(
+            path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644
+        )
+
+    def append(self, request: HttpRequest) -> None:
+        """Appends a line with the ids of a request whose run begins."""
+        line = {"at_s": time.time(), **describe_request(request)}
+        os.write(self._file_descriptor, json.dumps(line).encode() + b"\n")
+
+
+def describe_request(request: HttpRequest) -> dict[str, str]:
+    """Returns the ids and the target of a request as JSON values."""
+    headers = {
+        "send_id": TEST_RUN_ID_HEADER,
+        "key": IDEMPOTENCY_KEY_HEADER,
+        "chain_id": REQUEST_ID_HEADER,
+    }
+    return {
+        "target": request.uri.decode("latin-1"),
+        **{
+            name: (request.header(header.encode()) or b"").decode("latin-1")
+            for name, header in headers.items()
+        },
+    }
+
+
 class UpstreamWorker:
     """Runs requests in a fixed number of slots; others wait in a FIFO queue.
 
@@ -207,8 +252,11 @@
     """
 
     __slots__ = (
+        "_echoes_requests",
+        "_late_answer_s",
         "_plan",
         "_rng",
+        "_run_log",
         "_running_jobs",
         "_sample_service_time",
         "_silenced_connections",
@@ -232,6 +280,10 @@
         slots: int,
         rng: random.Random,
         distribution: str = "exponential",
+        *,
+        echoes_requests: bool = False,
+        run_log: RunLog | None = None,
+        late_answer_s: float = 0.0,
     ) -> None:
         """Creates a worker without requests or faults.
 
@@ -242,7 +294,15 @@
             slots: Number of requests that may run at the same time.
             rng: Random number generator for the service times.
             distribution: Name of the service time distribution.
+            echoes_requests: Whether successes repeat the ids and the body of
+                the request.
+            run_log: Where started runs are written; None for nowhere.
+            late_answer_s: Time after which some answers are sent a second
+                time on their connection, in seconds; 0 for never.
         """
+        self._late_answer_s = late_answer_s
+        self._echoes_requests = echoes_requests
+        self._run_log = run_log
         self.reactor = reactor
         self.node_client = node_client
         self.faults = Faults()
@@ -299,6 +359,25 @@
         mean_s = plan.mean_service_time_s * self.faults.slow_factor
         return self._sample_service_time(self._rng, mean_s) if mean_s else 0.0
 
+    def describe_success(self, request: HttpRequest) -> dict[str, Any]:
+        """Returns the body of a success as JSON values."""
+        if not self._echoes_requests:
+            return {"done": True}
+        body = request.body.decode("latin-1")
+        return {"done": True, **describe_request(request), "body": body}
+
+    def answer_again_later(self, channel: Any, payload: bytes) -> None:
+        """Sends a share of the answers again later, if that fault is on."""
+        if not self._late_answer_s or self._rng.random() > _LATE_ANSWER_SHARE:
+            return
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(payload)}\r\n\r\n"
+
+        def answer_again() -> None:
+            if channel is not None and channel.transport.connected:
+                channel.writer.write(head.encode() + payload)
+
+        self.reactor.callLater(self._late_answer_s, answer_again)
+
     def is_silenced(self, request: HttpRequest) -> bool:
         """Returns whether the `silence_open` fault hit this connection."""
         return request.channel in self._silenced_connections
@@ -314,6 +393,8 @@
             self._start_job(self._waiting_jobs.popleft())
 
     def _start_job(self, job: _Job) -> None:
+        if self._run_log is not None:
+            self._run_log.append(job.request)
         self._running_jobs.add(job)
         self.counters["begun"] += 1
         self._count_by_header(
