--- a/packages/testing/radishtray_testing/_upstream_work.py
+++ b/packages/testing/radishtray_testing/_upstream_work.py
@@ -29,6 +29,7 @@
 TEST_RUN_ID_HEADER = "Test-Run-Id"
 """Set by callers of tests, to count the runs of requests without a key."""
 REQUEST_ID_HEADER = "Radishtray-Request-Id"
+SEND_ID_HEADER = "Radishtray-Send-Id"
 CRASH_EXIT_CODE = 70
 _JSON_HEADERS = ["Content-Type", "application/json"]
 _GAMMA_SHAPE_PARAMETER = 4
@@ -180,9 +181,10 @@
         self._worker.remove_job(self)
         if not self._worker.is_silenced(self.request):
             channel = self.request.channel
+            headers = [*_JSON_HEADERS, *repeated_send_id(self.request)]
             payload = json.dumps(body).encode()
-            self.request.respond(status, _JSON_HEADERS, payload)
-            self._worker.answer_again_later(channel, payload)
+            self.request.respond(status, headers, payload)
+            self._worker.answer_again_later(channel, headers, payload)
 
     def _on_caller_disconnected(self) -> None:
         self._worker.counters["cancelled"] += 1
@@ -234,6 +236,12 @@
     }
 
 
+def repeated_send_id(request: HttpRequest) -> list[str]:
+    """Returns the header with which an answer repeats the id of its send."""
+    send_id = request.header(SEND_ID_HEADER.encode())
+    return [SEND_ID_HEADER, send_id.decode("latin-1")] if send_id else []
+
+
 class UpstreamWorker:
     """Runs requests in a fixed number of slots; others wait in a FIFO queue.
 
@@ -366,11 +374,15 @@
         body = request.body.decode("latin-1")
         return {"done": True, **describe_request(request), "body": body}
 
-    def answer_again_later(self, channel: Any, payload: bytes) -> None:
+    def answer_again_later(
+        self, channel: Any, headers: list[str], payload: bytes
+    ) -> None:
         """Sends a share of the answers again later, if that fault is on."""
         if not self._late_answer_s or self._rng.random() > _LATE_ANSWER_SHARE:
             return
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(payload)}\r\n\r\n"
+        fields = [*headers, "Content-Length", f"{len(payload)}"]
+        lines = map(": ".join, zip(fields[::2], fields[1::2], strict=True))
+        head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""])
 
         def answer_again() -> None:
             if channel is not None and channel.transport.connected:
