Send each state of a queried attempt in a frame of its own

What callers saw (in the test): 504 for requests that were answered in time, and for every later request through the same link, while the link reconnected about 30 times a second.

Cause: the reply to a query held the kept answers of all queried attempts in one frame. Together they may exceed the limit of a frame (4 MiB; an answer may have 2 MiB), and the sender then ends the connection, reconnects and asks again.

Evidence: test_answers_that_are_large_together_are_delivered_after_a_reset failed before (six times 504) and passes.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -308,7 +308,7 @@
         self.router.release_link(node_id)
 
     def node_moved(self, node_id: str) -> None:
-        """Ends attempts at the former address of a node."""
+        """Closes the link to the former address of a node."""
         self.router.abandon_link(node_id)
 
     def process_replaced(
--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -382,7 +382,7 @@
             link.reset()
 
     def abandon_link(self, node_id: str) -> None:
-        """Ends attempts at a node's former address as unknown."""
+        """Closes the link to a former address; its attempts end as unknown."""
         link = self._remove_link(node_id)
         if link is not None:
             link.give_up_attempts()
@@ -403,7 +403,10 @@
         return sum(link.outstanding for link in self._links.values())
 
     def check_liveness(self) -> None:
-        """Checks that the peer of each link responds; call it every 0.25 s."""
+        """Checks the peer of each link; to be called every 0.25 s.
+
+        Closes the links to nodes that are believed gone, once they are idle.
+        """
         for link in list(self._links.values()):
             link.check_liveness()
         for node_id in list(self._gone_nodes):
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -373,7 +373,7 @@
         self._router.release_link(node_id)
 
     def node_moved(self, node_id: str) -> None:
-        """Ends attempts at the former address of a node."""
+        """Closes the link to the former address of a node."""
         self._router.abandon_link(node_id)
 
     def process_replaced(
--- a/packages/node/radishtray_node/_node_server.py
+++ b/packages/node/radishtray_node/_node_server.py
@@ -199,18 +199,18 @@
     def _handle_query(
         self, connection: NodeConnection, peer: _Peer, query: wire.AttemptQuery
     ) -> None:
-        states = [
-            wire.AttemptState(
+        """Replies with one frame for each state.
+
+        Together, the kept answers may exceed the size limit of a frame.
+        """
+        for state in self._attempt_table.query(peer.token, query.attempt_ids):
+            reply = wire.AttemptState(
                 attempt_id=state.attempt_id,
                 phase=_WIRE_PHASES[state.phase],
                 answer=state.answer,
             )
-            for state in self._attempt_table.query(
-                peer.token, query.attempt_ids
-            )
-        ]
-        reply = wire.AttemptStates(states=states)
-        connection.send(wire.Frame(attempt_states=reply))
+            states = wire.AttemptStates(states=[reply])
+            connection.send(wire.Frame(attempt_states=states))
 
     def pong_received(self, connection: NodeConnection, sequence: int) -> None:
         """Drops the kept answers that the sender has acknowledged."""
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -206,7 +206,10 @@
             connection.abort()
 
     def reset(self) -> None:
-        """Aborts the connection, and settles its attempts over a new one."""
+        """Aborts the connection if it is ready.
+
+        Its attempts are settled over the next one.
+        """
         connection = self._connection
         if connection is not None and connection.is_ready:
             _LOG.info(
--- a/packages/node/radishtray_node/tests/test_link_events.py
+++ b/packages/node/radishtray_node/tests/test_link_events.py
@@ -61,6 +61,27 @@
     assert result.status == 0
 
 
+# Together more than the size limit of a frame.
+LARGE_BODY = b"x" * 1_500_000
+
+
+def test_answers_that_are_large_together_are_delivered_after_a_reset() -> None:
+    fleet = build_fleet()
+    upstream = fleet.upstreams["n"]
+    large = [fleet.send("e", "/once/", f"large{n}") for n in range(3)]
+    fleet.run(0.3)
+    _, receiving_end = fleet.network.connections[node_port(fleet)][-1]
+    receiving_end.is_silent = True
+    for http in upstream.requests:
+        upstream.answer(http, LARGE_BODY)
+    fleet.run(0.05)
+    fleet.gateways["e"].node_gone("n")
+    upstream.on_run = upstream.answer
+    small = [fleet.send("e", "/once/", f"small{n}") for n in range(3)]
+    fleet.run(2)
+    assert [result.status for result in large + small] == [200] * 6
+
+
 def test_a_link_that_is_closed_while_it_connects_opens_no_connection() -> None:
     fleet = build_fleet()
     entry = fleet.gateways["e"]
