Ignore blanks around the request id of an answer at the entry node

The node beside the upstream ignores them, the comparison at the entry node did not: the caller got 502. The new test failed before and passes.

--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -299,7 +299,9 @@
         result = CallResult.from_wire(answer)
         request_id = self._request.request_id
         stated_id = find_header(result.headers, entry.request_id_header)
-        if stated_id is None or stated_id == request_id.decode("latin-1"):
+        if stated_id is None or (
+            stated_id.strip() == request_id.decode("latin-1").strip()
+        ):
             return result
         entry.router.metrics.mismatched_answers.inc()
         entry.log.log_mismatched_answer(
--- a/packages/node/radishtray_node/tests/test_gateway.py
+++ b/packages/node/radishtray_node/tests/test_gateway.py
@@ -310,6 +310,17 @@
     assert counted in entry.metrics.exposition()
 
 
+def test_an_answer_whose_request_id_ends_with_blanks_is_delivered() -> None:
+    fleet = build_fleet(1)
+    headers = [HEADER_NAMES.request_id, "r1 \t", HEADER_NAMES.signature, "4"]
+    fleet.upstreams["n0"].on_run = lambda http: http.respond(
+        200, headers, b"done"
+    )
+    result = fleet.send("e", "/once/a", "r1")
+    fleet.run(0.5)
+    assert result.status == 200
+
+
 def test_attempts_at_a_former_address_end_as_unknown() -> None:
     fleet = build_fleet(1)
     fleet.upstreams["n0"].on_run = lambda http: None
