--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -3,7 +3,6 @@
 import gc
 import logging
 import random
-import secrets
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -15,6 +14,7 @@
 from radishtray_node._entry import Entry
 from radishtray_node._fleet import Fleet
 from radishtray_node._forwarding import ContextForwarding
+from radishtray_node._incarnation import new_incarnation
 from radishtray_node._listeners import Listeners
 from radishtray_node._local_upstream import LocalUpstream
 from radishtray_node._metrics import Metrics
@@ -49,7 +49,6 @@
 _LOG = logging.getLogger(__name__)
 _LIVENESS_CHECK_INTERVAL_S = 0.25
 _HOUSEKEEPING_INTERVAL_S = 1.0
-_INCARNATION_RANDOM_BITS = 20
 
 
 class Application:
@@ -510,30 +509,5 @@
         self._reactor.callLater(0.1, self._stopped.callback, None)
 
 
-def new_incarnation(clock: Clock) -> int:
-    """Returns an incarnation number that increases with the start time.
-
-    The high bits hold the wall time in milliseconds. The low bits are random,
-    so that two processes started in the same millisecond differ: key slots
-    are owned by one incarnation of a node.
-    """
-    return _make_incarnation(clock.wall_ms())
-
-
-def incarnation_above(known: int) -> int:
-    """Returns a higher incarnation number, with random low bits.
-
-    Two processes that learn of the same earlier one thus adopt different
-    numbers.
-    """
-    return _make_incarnation((known >> _INCARNATION_RANDOM_BITS) + 1)
-
-
-def _make_incarnation(milliseconds: int) -> int:
-    return (milliseconds << _INCARNATION_RANDOM_BITS) | secrets.randbits(
-        _INCARNATION_RANDOM_BITS
-    )
-
-
 def _answer_size_bytes(result: CallResult) -> int:
     return len(result.body) + sum(map(len, result.headers))
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -17,13 +17,13 @@
     RouteTableDecoder,
     WatchableStore,
 )
-from radishtray_node._application import incarnation_above, new_incarnation
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
 from radishtray_node._decision_log import DecisionLog
 from radishtray_node._fleet import ConfigurationSource, Fleet, ReleasePuller
 from radishtray_node._forwarding import HeaderForwarding
 from radishtray_node._gateway_settings import GatewaySettings
+from radishtray_node._incarnation import incarnation_above, new_incarnation
 from radishtray_node._local_upstream import Announcement, LocalUpstream
 from radishtray_node._metrics import Metrics
 from radishtray_node._node_server import NodeServer
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -175,12 +175,6 @@
             cancel = wire.Cancel(attempt_id=attempt.call.attempt_id)
             self._connection.send(wire.Frame(cancel=cancel))
 
-    def abandon(self, attempt: SentAttempt) -> None:
-        """Stops tracking an attempt without calling its callbacks."""
-        attempt.is_settled = True
-        if attempt.is_handed_over:
-            self._outstanding.give_up(attempt.call.attempt_id)
-
     def check_liveness(self) -> None:
         """Pings the peer, or aborts the connection if a pong is overdue.
 
--- a/packages/node/radishtray_node/_sent_attempt.py
+++ b/packages/node/radishtray_node/_sent_attempt.py
@@ -25,7 +25,7 @@
         on_answer: Called once with the receiver's answer.
         on_failure: Called once if there is no answer.
         is_handed_over: Whether the call was handed to a connection.
-        is_settled: Whether a callback was called or the attempt was abandoned.
+        is_settled: Whether a callback was called.
     """
 
     __slots__ = (
--- a/packages/node/radishtray_node/tests/test_gateway.py
+++ b/packages/node/radishtray_node/tests/test_gateway.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from radishtray_node._application import incarnation_above, new_incarnation
+from radishtray_node._incarnation import incarnation_above, new_incarnation
 from radishtray_protocol import RouteSplit, wire
 from radishtray_state import SystemClock
 from radishtray_testing.gateway_builders import (
--- a/packages/testing/radishtray_testing/_seeded_nodes.py
+++ b/packages/testing/radishtray_testing/_seeded_nodes.py
@@ -10,7 +10,7 @@
 
 from twisted.logger import globalLogPublisher
 
-from radishtray_node import _application, _gateway
+from radishtray_node import _gateway, _incarnation
 from radishtray_state import _outstanding_attempts
 
 
@@ -62,7 +62,7 @@
         for module, name, value in (
             (_gateway, "random", SimpleNamespace(Random=new_random)),
             (_gateway, "gc", mock.Mock()),
-            (_application, "secrets", secrets),
+            (_incarnation, "secrets", secrets),
             (_outstanding_attempts, "secrets", secrets),
         ):
             stack.enter_context(mock.patch.object(module, name, value))
--- a/packages/transport/radishtray_transport/_http_channel.py
+++ b/packages/transport/radishtray_transport/_http_channel.py
@@ -14,6 +14,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from radishtray_transport._body_buffer import BodyBuffer
 from radishtray_transport._direct_writer import DirectWriter
 from radishtray_transport._http_request import HttpLimits, HttpRequest
 
@@ -77,10 +78,7 @@
         self._partial_head_bytes = 0
         # Bytes after the head, other than the body, that may still follow.
         self._framing_left = 0
-        # Most bodies arrive in one part, which is then not copied.
-        self._first_body_part = b""
-        self._other_body_parts = bytearray()
-        self._body_bytes = 0
+        self._body = BodyBuffer()
         self._queued_requests: deque[HttpRequest] = deque()
         self._active_request: HttpRequest | None = None
         self._is_dispatching = False
@@ -208,18 +206,11 @@
         request = self._incoming_request
         if request is None or request.is_too_large:
             return
-        self._body_bytes += len(part)
-        if self._body_bytes > self.limits.body_bytes:
+        if self._body.size + len(part) > self.limits.body_bytes:
             request.is_too_large = True
-            self._clear_body()
-        elif not self._first_body_part:
-            self._first_body_part = part
+            self._body.clear()
         else:
-            self._other_body_parts += part
-
-    def _clear_body(self) -> None:
-        self._first_body_part = b""
-        self._other_body_parts = bytearray()
+            self._body.append(part)
 
     def on_message_complete(self) -> None:
         """Queues the request, which is dispatched after the parser returns."""
@@ -228,12 +219,7 @@
         self._request_started_s = None
         if request is None:
             return
-        request.body = self._first_body_part
-        if self._other_body_parts:
-            request.body += self._other_body_parts
-        if self._first_body_part:
-            self._clear_body()
-        self._body_bytes = 0
+        request.body = self._body.take()
         self._queued_requests.append(request)
         if not request.is_persistent:
             # Bytes after the last request of a connection are ignored.
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -8,6 +8,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from radishtray_transport._body_buffer import BodyBuffer
 from radishtray_transport._direct_writer import DirectWriter
 from radishtray_transport._http_exchange import (
     HeaderList,
@@ -108,15 +109,13 @@
         self._overhead_left = 0
         # Bodies of responses to other requests.
         self._dropped_body_bytes = 0
+        self._body = BodyBuffer()
         self._reset_response()
 
     def _reset_response(self) -> None:
         self._status = 0
         self._headers: HeaderList = []
-        # Most bodies arrive in one part, which is then not copied.
-        self._first_body_part = b""
-        self._other_body_parts = bytearray()
-        self._body_bytes = 0
+        self._body.clear()
         self._is_parsing_head = True
         self._has_framing_header = False
         self._reason_phrase = b""
@@ -316,13 +315,13 @@
             if self._dropped_body_bytes > self._max_body_bytes:
                 self._is_invalid = True
             return
-        self._body_bytes += size
-        if self._body_bytes > self._max_body_bytes or self._is_unidentified:
+        if (
+            self._body.size + size > self._max_body_bytes
+            or self._is_unidentified
+        ):
             self._is_invalid = True
-        elif not self._first_body_part:
-            self._first_body_part = part
         else:
-            self._other_body_parts += part
+            self._body.append(part)
 
     def on_message_complete(self) -> None:
         """Completes the response, or discards an interim (1xx) one."""
@@ -348,12 +347,6 @@
             return
         self._is_complete = True
 
-    def _body(self) -> bytes:
-        if self._other_body_parts:
-            self._first_body_part += self._other_body_parts
-            self._other_body_parts = bytearray()
-        return self._first_body_part
-
     # End of a request.
 
     def _report_response(self) -> None:
@@ -386,7 +379,7 @@
         if self._is_unidentified:
             # Its headers may describe another request.
             return HttpResponse(self._status, [], b"")
-        return HttpResponse(self._status, self._headers, self._body())
+        return HttpResponse(self._status, self._headers, self._body.take())
 
     def _report_invalid(self) -> None:
         self._pool.report_fault(
--- a/packages/transport/radishtray_transport/tests/answer_builders.py
+++ b/packages/transport/radishtray_transport/tests/answer_builders.py
@@ -18,6 +18,7 @@
     ResponseFault,
     ResponseRules,
 )
+from radishtray_transport._body_buffer import BodyBuffer
 
 RULES = ResponseRules(
     allows_close_delimited=True, request_id_header="X-Id", idle_limit_s=5.0
@@ -61,6 +62,8 @@
     size = sys.getsizeof(value)
     if isinstance(value, dict):
         value = list(value.values())
+    elif isinstance(value, BodyBuffer):
+        value = [getattr(value, name) for name in BodyBuffer.__slots__]
     if isinstance(value, list | tuple):
         size += sum(held_bytes(item, seen) for item in value)
     return size
