Let standbys watch as soon as the watchers' heartbeats stop

Cause: most nodes hear of a version from the elected watchers alone. When all watchers were lost at once, another candidate took over only after the membership had suspected one of them in its own failure domain: a probe a second, a second without an ack, then gossip. That takes up to 2.4 s. The class of fault: a duty is delegated, and the loss of the delegate is detected by a mechanism slower than the bound on the duty.

Now each watcher that reaches the platform sends a heartbeat to the other candidates of its failure domain four times a second, and a candidate without a heartbeat for 0.8 s watches itself. Heartbeats carry no records: those are sent a limited number of times, and would go to the same few members.

Ruled out: hearing any message of a watcher as evidence (views of starting nodes differ about who watches, so standbys watched for no reason); all nodes watching (calls would grow with the fleet).

The field of the generated enum was added by hand.

--- a/packages/coordination/radishtray_coordination/_route_configuration.py
+++ b/packages/coordination/radishtray_coordination/_route_configuration.py
@@ -31,6 +31,10 @@
 _FIRST_READ_DELAYS_S = (0.05, 0.15)
 _ELECTION_DELAY_S = 1.5
 _ROLE_CHECK_INTERVAL_S = 0.25
+_HEARTBEAT_INTERVAL_S = 0.25
+# The views of nodes that start together differ at first, and so do the nodes
+# that they take for watchers.
+_FIRST_STANDBY_DELAY_S = 10.0
 # Delays after which a node reads that is no watcher. Those of 200 nodes that
 # start at the same time make 30 reads/s.
 _SUBSTITUTION_DELAYS_S = (1.0, 8.0)
@@ -75,6 +79,8 @@
         "_decode",
         "_election",
         "_failed_pulls",
+        "_heartbeat_task",
+        "_is_connected",
         "_membership",
         "_object_name",
         "_on_table",
@@ -84,6 +90,7 @@
         "_reactor",
         "_rng",
         "_send",
+        "_standby_from_s",
         "_store",
         "_table",
         "_version",
@@ -133,8 +140,13 @@
         self._version: int | None = None
         self._election = WatcherElection(membership)
         self._watch_anyway_at_s: float | None = None
+        self._is_connected = False
+        self._standby_from_s = 0.0
         self._backoff = Backoff(rng, _FIRST_BACKOFF_S, _MAX_BACKOFF_S)
         self._watch_task = BackgroundTask(reactor, "routes", self._watch_object)
+        self._heartbeat_task = BackgroundTask(
+            reactor, "watcher heartbeats", self._send_heartbeats
+        )
 
     @property
     def generation(self) -> int:
@@ -148,10 +160,13 @@
 
     def start(self) -> None:
         """Starts to read and watch the object."""
+        self._standby_from_s = self._reactor.seconds() + _FIRST_STANDBY_DELAY_S
         self._watch_task.start()
+        self._heartbeat_task.start()
 
     def close(self) -> None:
         """Stops watching the object."""
+        self._heartbeat_task.close()
         self._watch_task.close()
 
     async def _watch_object(self) -> None:
@@ -165,11 +180,24 @@
             if self._is_substitution_due():
                 await self._call_store(self._read_or_watch)
                 self._watch_anyway_at_s = None
-            elif self._election.is_watcher:
+            elif self._election.is_watcher or self._is_needed_standby():
                 await self._call_store(self._read_or_watch)
             else:
                 await sleep(self._reactor, _ROLE_CHECK_INTERVAL_S)
 
+    def _is_needed_standby(self) -> bool:
+        return (
+            bool(self._reactor.seconds() >= self._standby_from_s)
+            and self._election.is_needed_standby
+        )
+
+    async def _send_heartbeats(self) -> None:
+        """Shows the standbys that this watcher reaches the platform."""
+        while True:
+            await sleep(self._reactor, _HEARTBEAT_INTERVAL_S)
+            if self._is_connected and self._election.is_watcher:
+                self._send(self._membership.heartbeats(self._election.standbys))
+
     def _is_substitution_due(self) -> bool:
         """Returns whether this node reads although it is no watcher.
 
@@ -197,6 +225,7 @@
         found = await call()
         is_lost = found.is_error() and isinstance(found.error, Unreachable)
         self._send(self._membership.update_own_record(platform_lost=is_lost))
+        self._is_connected = not found.is_error()
         if found.is_error():
             _LOG.info(
                 "cannot read the route configuration; retrying",
--- a/packages/coordination/radishtray_coordination/_watcher_election.py
+++ b/packages/coordination/radishtray_coordination/_watcher_election.py
@@ -14,6 +14,9 @@
 _MIN_WATCHERS = 8
 # Members of a failure domain that try to reach the platform while it fails.
 _CANDIDATES_PER_DOMAIN = 6
+# Time without a heartbeat of a watcher after which the other candidates watch
+# as well. The failure detection of the membership takes too long for that.
+_WATCHER_SILENCE_S = 0.8
 _WATCHER_ROLE = "route-watcher"
 
 
@@ -21,7 +24,8 @@
     """Decides whether this node watches, from its view of the members.
 
     The first candidates of each failure domain watch that are not suspected and
-    have not announced that the platform is lost to them.
+    have not announced that the platform is lost to them. They send heartbeats
+    to the other candidates, the standbys, which watch while none arrives.
     """
 
     __slots__ = ("_membership",)
@@ -40,7 +44,25 @@
         candidates = self._candidates(own.failure_domain)
         if own.platform_lost:
             return own in candidates
-        return own in _connected(candidates)[: self._watchers_per_domain]
+        return own in self._watchers(candidates)
+
+    @property
+    def is_needed_standby(self) -> bool:
+        """Whether this node is a candidate and hears of no watcher any more."""
+        age_s = self._membership.heartbeat_age_s
+        if age_s is None or age_s <= _WATCHER_SILENCE_S:
+            return False
+        own = self._membership.own_record
+        return own in self._candidates(own.failure_domain)
+
+    @property
+    def standbys(self) -> list[MemberRecord]:
+        """Candidates of the own failure domain that are no watchers."""
+        candidates = self._candidates(
+            self._membership.own_record.failure_domain
+        )
+        watchers = self._watchers(candidates)
+        return [member for member in candidates if member not in watchers]
 
     @property
     def has_connected_candidate(self) -> bool:
@@ -53,6 +75,9 @@
             for domain in self._live_domains() - {own_domain}
         )
 
+    def _watchers(self, candidates: list[MemberRecord]) -> list[MemberRecord]:
+        return _connected(candidates)[: self._watchers_per_domain]
+
     @property
     def _watchers_per_domain(self) -> int:
         domains = max(1, len(self._live_domains()))
--- a/packages/coordination/radishtray_coordination/tests/test_route_configuration.py
+++ b/packages/coordination/radishtray_coordination/tests/test_route_configuration.py
@@ -99,6 +99,51 @@
         assert versions == sorted(set(versions)), "a version reverted"
 
 
+def kill_watchers(cluster: RouteCluster) -> None:
+    for node in cluster.watchers():
+        cluster.kill(node.address)
+
+
+def freeze_watchers(cluster: RouteCluster) -> None:
+    cluster.paused.update(node.address for node in cluster.watchers())
+
+
+WATCHER_LOSSES: dict[str, Callable[[RouteCluster], None]] = {
+    "killed": kill_watchers,
+    "frozen": freeze_watchers,
+}
+
+
+@pytest.mark.parametrize(
+    "nodes, domains, seed",
+    [*((17, 4, seed) for seed in range(1, 9)), (60, 5, 1)],
+)
+@pytest.mark.parametrize("loss", WATCHER_LOSSES)
+def test_a_version_is_in_force_in_time_when_all_watchers_were_just_lost(
+    loss: str, nodes: int, domains: int, seed: int
+) -> None:
+    cluster = RouteCluster(seed, nodes, domains)
+    cluster.run(12)
+    WATCHER_LOSSES[loss](cluster)
+    cluster.publish_routes(2)
+    cluster.run(APPLY_S)
+    assert {
+        node.configuration.generation
+        for address, node in cluster.nodes.items()
+        if address not in cluster.paused
+    } == {2}
+
+
+def test_standbys_do_not_watch_while_watchers_send_heartbeats() -> None:
+    cluster = settled_cluster()
+    cluster.run(10)
+    watchers = cluster.watchers()
+    before = cluster.store.watches
+    cluster.run(60)
+    # A watch ends after 4 to 8 s.
+    assert cluster.store.watches - before <= len(watchers) * (60 / 4 + 1)
+
+
 def test_a_pull_over_a_silent_connection_delays_no_version() -> None:
     cluster = settled_cluster()
     watchers = {n.membership.own_record.node_id for n in cluster.watchers()}
--- a/packages/protocol/radishtray_protocol/_gen/ttypes.py
+++ b/packages/protocol/radishtray_protocol/_gen/ttypes.py
@@ -63,12 +63,14 @@
     ACK = 1
     PING_REQUEST = 2
     PUSH = 3
+    HEARTBEAT = 4
 
     _VALUES_TO_NAMES = {
         0: "PING",
         1: "ACK",
         2: "PING_REQUEST",
         3: "PUSH",
+        4: "HEARTBEAT",
     }
 
     _NAMES_TO_VALUES = {
@@ -76,6 +78,7 @@
         "ACK": 1,
         "PING_REQUEST": 2,
         "PUSH": 3,
+        "HEARTBEAT": 4,
     }
 
 
--- a/packages/protocol/radishtray_protocol/wire.thrift
+++ b/packages/protocol/radishtray_protocol/wire.thrift
@@ -195,6 +195,7 @@
   ACK = 1
   PING_REQUEST = 2
   PUSH = 3
+  HEARTBEAT = 4
 }
 
 struct CrashSuspect {
--- a/packages/state/radishtray_state/_gossip.py
+++ b/packages/state/radishtray_state/_gossip.py
@@ -14,6 +14,7 @@
     ACK = 1
     PING_REQUEST = 2
     PUSH = 3
+    HEARTBEAT = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/state/radishtray_state/_membership.py
+++ b/packages/state/radishtray_state/_membership.py
@@ -97,6 +97,7 @@
         "_clock",
         "_crash_suspects",
         "_generation",
+        "_last_heartbeat_at",
         "_last_received_at",
         "_last_sequence",
         "_last_tick_at",
@@ -182,6 +183,7 @@
         self._saw_difference = True
         self._last_tick_at = now
         self._last_received_at = now
+        self._last_heartbeat_at: float | None = None
         # Random phases keep nodes that start together from sending in step.
         self._next_probe_at = now + self._random_phase_s(
             self._parameters.probe_interval_s
@@ -224,6 +226,13 @@
         """Seconds since a message of another member was received."""
         return self._clock.monotonic() - self._last_received_at
 
+    @property
+    def heartbeat_age_s(self) -> float | None:
+        """Seconds since the last heartbeat; None before the first one."""
+        if self._last_heartbeat_at is None:
+            return None
+        return self._clock.monotonic() - self._last_heartbeat_at
+
     @property
     def view_digest(self) -> int:
         """64-bit digest over the live members; equal if views agree."""
@@ -366,6 +375,29 @@
             if member.node_id != self._own_record.node_id
         ]
 
+    def heartbeats(self, members: Iterable[MemberRecord]) -> list[Datagram]:
+        """Returns messages that tell members that this node does its role.
+
+        They carry no records, whose transmissions are limited in number.
+        """
+        own = self._own_record
+        return [
+            Datagram(
+                member.gossip_address,
+                GossipMessage(
+                    own.node_id,
+                    self._next_sequence(),
+                    GossipKind.HEARTBEAT,
+                    None,
+                    NO_RECORDS,
+                    self._generation,
+                    (),
+                ),
+            )
+            for member in members
+            if member.node_id != own.node_id
+        ]
+
     def own_record_pushes(
         self, members: Iterable[MemberRecord]
     ) -> list[Datagram]:
@@ -434,7 +466,9 @@
             return self._handle_ack(message)
         if message.kind is GossipKind.PING_REQUEST:
             return self._relay_ping(message, source, now)
-        if message.summary is not None:
+        if message.kind is GossipKind.HEARTBEAT:
+            self._last_heartbeat_at = now
+        elif message.summary is not None:
             return self._answer_summary(message.summary, source, now)
         return []
 
