End connections to the store that have gone silent

Cause: a watch waits up to 8 s for data, so on a connection that silently stopped working it was given up after 5 to 9 s only. Reads over other silent connections of the pool then failed one after the other, after 2 s each. The class of fault: an idle wait without evidence that the other end is there.

Connections to the store now use TCP keep-alive (1 s idle, one probe) and a limit of 2 s on unacknowledged data; the kernel ends them, at no call to the store. Links between nodes have their own pings, and upstreams are on the same VM.

Test: the watch had no result 3 s after its connection went silent before the change (run with the option off); it fails after 2 to 3 s now, and the next read gets the new version.

--- a/packages/testing/radishtray_testing/memory_network.py
+++ b/packages/testing/radishtray_testing/memory_network.py
@@ -4,6 +4,7 @@
 of one process on the network, which can be paused and killed.
 """
 
+import socket
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -29,6 +30,9 @@
 _STEP_S = 0.005
 _HOST = "127.0.0.1"
 _DATAGRAM_DELAY_S = 0.001
+# One idle second, and one until a probe counts as unanswered.
+_KEEP_ALIVE_S = 2.0
+_KEEP_ALIVE_STEP_S = 0.25
 
 
 @implementer(ITCPTransport, IPushProducer)
@@ -243,6 +247,27 @@
     def setTcpNoDelay(self, enabled: bool) -> None:
         """Does nothing: no Nagle's algorithm is simulated."""
 
+    def getHandle(self) -> "_MemorySocket":
+        """Returns the socket, on which keep-alive can be enabled."""
+        return _MemorySocket(self)
+
+    def keep_alive(self, left_s: float) -> None:
+        """Ends the connection once either end is silent for long enough.
+
+        Args:
+            left_s: Seconds of silence that are left until then.
+        """
+        if not self.connected:
+            return
+        is_silent = self.is_silent or (
+            self._peer is not None and self._peer.is_silent
+        )
+        if is_silent and left_s <= 0:
+            _run_in(self._process, self.handle_peer_reset)
+            return
+        left_s = left_s - _KEEP_ALIVE_STEP_S if is_silent else _KEEP_ALIVE_S
+        self._network.callLater(_KEEP_ALIVE_STEP_S, self.keep_alive, left_s)
+
     def getPeer(self) -> IPv4Address:
         """Returns the listener's address, for either end of the connection."""
         return self._address
@@ -252,6 +277,18 @@
         return self._address
 
 
+class _MemorySocket:
+    """Options of the socket of a `MemoryTransport`."""
+
+    def __init__(self, transport: MemoryTransport) -> None:
+        self._transport = transport
+
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        """Starts the probes of keep-alive; other options have no effect."""
+        if (level, option) == (socket.SOL_SOCKET, socket.SO_KEEPALIVE):
+            self._transport.keep_alive(_KEEP_ALIVE_S)
+
+
 class _ListeningPort:
     """A TCP port that accepts connections."""
 
--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -50,6 +50,8 @@
             not close those that are open.
         rules: How responses are read.
         report_fault: Called with each fault in what the server sends.
+        uses_keep_alive: Whether connections on which the server has fallen
+            silent are ended, also while a request waits for its response.
     """
 
     __slots__ = (
@@ -66,6 +68,7 @@
         "max_connections",
         "report_fault",
         "rules",
+        "uses_keep_alive",
     )
 
     def __init__(
@@ -77,6 +80,8 @@
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
         rules: ResponseRules | None = None,
         on_fault: Callable[[ResponseFault], None] = lambda _: None,
+        *,
+        uses_keep_alive: bool = False,
     ) -> None:
         """Configures a client; connections are opened on demand.
 
@@ -88,7 +93,10 @@
             max_body_bytes: Maximum size of a response body.
             rules: How responses are read.
             on_fault: Called with each fault in what the server sends.
+            uses_keep_alive: Whether connections on which the server has fallen
+                silent are ended.
         """
+        self.uses_keep_alive = uses_keep_alive
         self.report_fault = on_fault
         self.max_body_bytes = max_body_bytes
         self.rules = rules or ResponseRules()
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -18,6 +18,7 @@
     ResponseFault,
     ResponseRules,
 )
+from radishtray_transport._keep_alive import enable_keep_alive
 
 # Hop-by-hop headers and Content-Length are not part of the reported response.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -57,10 +58,12 @@
     Attributes:
         max_body_bytes: Maximum size of a response body.
         rules: How responses are read.
+        uses_keep_alive: Whether silent connections are to be ended.
     """
 
     max_body_bytes: int
     rules: ResponseRules
+    uses_keep_alive: bool
 
     def connection_opened(self, connection: "HttpConnection") -> None:
         """Adds a new connection to the pool."""
@@ -141,6 +144,8 @@
     def connectionMade(self) -> None:
         """Prepares the transport and adds the connection to its pool."""
         self.transport.setTcpNoDelay(True)
+        if self._pool.uses_keep_alive:
+            enable_keep_alive(self.transport)
         self._writer = DirectWriter(self.transport)
         self._pool.connection_opened(self)
 
