Check a link after a frame that no attempt tracks

Cause: links ping their peer only while attempts wait for an answer. A pull of the configuration over an idle link that had gone silent got no reply, and the link stayed, so that the next pull from this peer failed too. Three such pulls block all others for 3 s.

A link now pings after any frame until a pong arrives; a link without frames sends nothing, as before.

Test: the silent connection was still open 1.6 s after the pull before the change; it is aborted now.

--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -59,6 +59,7 @@
         "_incarnation",
         "_is_closed",
         "_is_connecting",
+        "_is_control_unconfirmed",
         "_last_call_sent_s",
         "_on_control",
         "_on_rejected",
@@ -119,6 +120,8 @@
         self._connect_failures = 0
         self._ping_sequence = 0
         self._ping_sent_s: float | None = None
+        # Whether no pong has arrived since the last untracked frame.
+        self._is_control_unconfirmed = False
         self._last_call_sent_s = 0.0
         self._connect_started_s = 0.0
 
@@ -162,6 +165,7 @@
         """
         connection = self._connection
         if connection is not None and connection.is_ready:
+            self._is_control_unconfirmed = True
             connection.send(frame)
         elif len(self._queue) < _MAX_QUEUED and not self._is_closed:
             self._queue.append(frame)
@@ -179,14 +183,17 @@
         """Pings the peer, or aborts the connection if a pong is overdue.
 
         Must be called four times a second. Pings are sent only while attempts
-        wait for an answer, so their cost grows with the calls and not with the
-        number of links. A connection that is idle for long is closed.
+        wait for an answer and after other frames, so their cost grows with the
+        calls and not with the number of links. A connection that is idle for
+        long is closed.
         """
         connection = self._connection
         if connection is None or not connection.is_ready:
             return
         now_s = self._reactor.seconds()
-        if not self._outstanding.outstanding:
+        if not self._outstanding.outstanding and (
+            not self._is_control_unconfirmed
+        ):
             self._ping_sent_s = None
             if now_s - self._last_call_sent_s > IDLE_TIMEOUT_S:
                 connection.close()
@@ -290,6 +297,7 @@
         self._is_connecting = False
         self._connect_failures = 0
         self._ping_sent_s = None
+        self._is_control_unconfirmed = False
         lost = []
         if connection.incarnation != self._incarnation:
             # The receiver does not know attempts that were sent under another
@@ -372,6 +380,7 @@
         """Records that the peer still receives what this node sends."""
         if connection is self._connection and sequence == self._ping_sequence:
             self._ping_sent_s = None
+            self._is_control_unconfirmed = False
 
     def connection_rejected(self, reason: str) -> None:
         """Reports a connection that this side aborted."""
--- a/packages/node/radishtray_node/tests/test_link_events.py
+++ b/packages/node/radishtray_node/tests/test_link_events.py
@@ -90,3 +90,17 @@
     entry.node_moved("n")
     fleet.run(1)
     assert not opened_ends(fleet)[-1].connected
+
+
+def test_a_pull_over_a_silent_connection_ends_it() -> None:
+    fleet = build_fleet()
+    upstream = fleet.upstreams["n"]
+    upstream.on_run = upstream.answer
+    fleet.send("e", "/once/a", "a")
+    fleet.run(1)
+    for end in fleet.network.connections[node_port(fleet)][-1]:
+        end.is_silent = True
+    pull = wire.Frame(release_pull=wire.ReleasePull(have_generation=0))
+    fleet.gateways["e"].send_control("n", pull)
+    fleet.run(1.6)
+    assert not opened_ends(fleet)[-1].connected
