Count crashes by id, so that those of several nodes add up

What callers saw: a request under which three upstreams had ended was sent on to further ones (BUDGET).

Cause: nodes exchanged the number of crashes of a content and kept the maximum. When copies of the request ran on several upstreams, each node counted one crash and all together still one. The class of fault: a replicated count whose merge is not the sum of what the replicas saw. Beside it, each found by reading: - Gossip sent the same eight entries each time. A crash makes suspects of all requests in flight, so the one that matters was often not among them. - The digest of a content had the service in it, so that counting began again when a route was moved or split. - An upstream's 5xx cleared a content, and a run that was given up just before the crash did not count.

Crashes now have random ids; nodes keep the union of the ids of a content, up to the three that block it, and an answer clears the ids known where it arrives. The node beside the crashed upstream sends its entries to the other nodes of the service at once; gossip carries all others in turn, those with several crashes first, so a restarted node learns them too. Entries without ids, of earlier versions, are ignored: they can't be added without counting crashes twice.

The test of late reports used an entry without ids; it now uses a real earlier report, which it first shows to block.

After 60 s the request is tried again, as before. The generated fields were added by hand.

--- a/packages/node/radishtray_node/_fleet.py
+++ b/packages/node/radishtray_node/_fleet.py
@@ -461,13 +461,18 @@
     def _publish_suspects(self) -> None:
         self.membership.set_crash_suspects(
             CrashSuspectEntry(
-                s.fingerprint, s.crashes, int(s.ttl_s * _MS_PER_S)
+                s.fingerprint,
+                s.crashes,
+                int(s.ttl_s * _MS_PER_S),
+                s.crash_ids,
             )
             for s in self._suspects.export()
         )
 
     def _on_peer_suspects(self, notes: Any) -> None:
         self._suspects.merge(
-            CrashSuspect(n.fingerprint, n.crashes, n.ttl_ms / _MS_PER_S)
+            CrashSuspect(
+                n.fingerprint, n.crashes, n.ttl_ms / _MS_PER_S, n.crash_ids
+            )
             for n in notes
         )
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -40,6 +40,7 @@
     ArrivalBudget,
     AttemptSequence,
     Clock,
+    CrashSuspect,
     CrashTally,
     KeyOwner,
     KeyRouter,
@@ -62,6 +63,7 @@
 _LOG = logging.getLogger(__name__)
 _LIVENESS_CHECK_INTERVAL_S = 0.25
 _HOUSEKEEPING_INTERVAL_S = 1.0
+_MS_PER_S = 1000.0
 _DRAIN_POLL_S = 0.05
 # Time after the announcement of a drain in which calls are still answered, with
 # a refusal: until then other nodes may send more. A call that is under way to a
@@ -417,6 +419,16 @@
     ) -> None:
         if frame.release_pull is not None:
             connection.send(self.fleet.answer_release_pull(frame.release_pull))
+        elif frame.crash_suspects is not None:
+            self.crash_tally.merge(
+                CrashSuspect(
+                    suspect.fingerprint,
+                    suspect.crashes,
+                    suspect.ttl_ms / _MS_PER_S,
+                    tuple(suspect.crash_ids or ()),
+                )
+                for suspect in frame.crash_suspects.suspects
+            )
 
     def _on_control_reply(self, node_id: str, frame: wire.Frame) -> None:
         if frame.release_push is not None:
@@ -474,7 +486,31 @@
             "upstream crashed; counting it against the requests that were "
             "running"
         )
-        self._upstream_server.handle_upstream_crash()
+        changed = self._upstream_server.handle_upstream_crash()
+        if changed:
+            self._send_crashes(changed)
+
+    def _send_crashes(self, changed: list[CrashSuspect]) -> None:
+        """Tells the other nodes of the service, where the requests may go next.
+
+        Gossip takes seconds to carry the entries of one crash.
+        """
+        frame = wire.Frame(
+            crash_suspects=wire.CrashSuspects(
+                suspects=[
+                    wire.CrashSuspect(
+                        fingerprint=suspect.fingerprint,
+                        crashes=suspect.crashes,
+                        ttl_ms=int(suspect.ttl_s * _MS_PER_S),
+                        crash_ids=list(suspect.crash_ids),
+                    )
+                    for suspect in changed
+                ]
+            )
+        )
+        for node_id in self.fleet.live_nodes(self.settings.service):
+            if node_id != self.settings.node_id:
+                self.send_control(node_id, frame)
 
     # Listeners.
 
--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -329,7 +329,9 @@
         else:
             self._server.record_success()
         self._finish_run()
-        self._server.note_run_finished(self.request.fingerprint, True)
+        self._server.note_run_finished(
+            self.request.fingerprint, not result.is_server_error
+        )
         if self._key is not None:
             self._server.key_owner.finish(self._key, result)
         self._finish(result)
@@ -347,7 +349,7 @@
             self._server.note_run_finished(self.request.fingerprint, False)
             self._refuse(RefusalReason.UPSTREAM_REFUSED)
         elif failure is RequestFailure.CANCELLED:
-            self._server.note_run_finished(self.request.fingerprint, False)
+            self._server.note_run_abandoned(self.request.fingerprint)
             self._refuse(
                 RefusalReason.CANCELLED_RUNNING
                 if self._is_cancelled
@@ -361,7 +363,7 @@
 
     def _handle_probe_result(self, has_crashed: bool) -> None:
         if not has_crashed:
-            self._server.note_run_finished(self.request.fingerprint, False)
+            self._server.note_run_abandoned(self.request.fingerprint)
         self._finish_unknown(RefusalReason.UPSTREAM_LOST, has_crashed)
 
     def _finish_run(self, *, is_measured: bool = True) -> None:
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -304,7 +304,8 @@
             uri,
             self._upstream_headers(http, host),
             http.body,
-            fingerprint(service, method + host, uri, http.body),
+            # Without the service, since the route may change or be split.
+            fingerprint("", method + host, uri, http.body),
             parent.priority_class if parent else route.priority_class,
             parent.call_level if parent else self._rng.randrange(FIRST_LEVELS),
             has_parent=parent is not None,
--- a/packages/node/radishtray_node/_upstream_server.py
+++ b/packages/node/radishtray_node/_upstream_server.py
@@ -13,6 +13,7 @@
 from radishtray_state import (
     CallChains,
     Clock,
+    CrashSuspect,
     FailureEstimator,
     KeyOwner,
     ParentRequest,
@@ -205,6 +206,15 @@
         if suspects.record_end(fingerprint, completed):
             self.recheck_waiting_suspects()
 
+    def note_run_abandoned(self, fingerprint: int) -> None:
+        """Records that this node no longer waits for the end of a run.
+
+        Args:
+            fingerprint: Digest of the request's content.
+        """
+        if self.upstream.suspects.record_abandoned(fingerprint):
+            self.recheck_waiting_suspects()
+
     def record_success(self) -> None:
         """Records that the upstream served a request."""
         self._last_success_s = self.clock.monotonic()
@@ -242,10 +252,15 @@
         for call in waiting:
             call.recheck_suspect()
 
-    def handle_upstream_crash(self) -> None:
-        """Records a crash of the upstream during its running calls."""
-        self.upstream.suspects.upstream_crashed()
+    def handle_upstream_crash(self) -> list[CrashSuspect]:
+        """Records a crash of the upstream during its running calls.
+
+        Returns:
+            The entries that this changed.
+        """
+        changed = self.upstream.suspects.upstream_crashed()
         self.recheck_waiting_suspects()
+        return changed
 
     def schedule_queue_expiry(self) -> None:
         """Schedules a check for queued calls that cannot be answered in time.
--- a/packages/protocol/radishtray_protocol/_gen/ttypes.py
+++ b/packages/protocol/radishtray_protocol/_gen/ttypes.py
@@ -2062,6 +2062,203 @@
         return not (self == other)
 
 
+class CrashSuspect(object):
+    """
+    Attributes:
+     - fingerprint
+     - crashes
+     - ttl_ms
+     - crash_ids
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'crashes',
+        'ttl_ms',
+        'crash_ids',
+    )
+
+
+    def __init__(self, fingerprint=None, crashes=None, ttl_ms=None, crash_ids=None,):
+        self.fingerprint = fingerprint
+        self.crashes = crashes
+        self.ttl_ms = ttl_ms
+        self.crash_ids = crash_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.fingerprint = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I16:
+                    self.crashes = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.ttl_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.crash_ids = []
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = iprot.readI64()
+                        self.crash_ids.append(_elem102)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashSuspect')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.I64, 1)
+            oprot.writeI64(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.I16, 2)
+            oprot.writeI16(self.crashes)
+            oprot.writeFieldEnd()
+        if self.ttl_ms is not None:
+            oprot.writeFieldBegin('ttl_ms', TType.I32, 3)
+            oprot.writeI32(self.ttl_ms)
+            oprot.writeFieldEnd()
+        if self.crash_ids is not None:
+            oprot.writeFieldBegin('crash_ids', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.crash_ids))
+            for iter103 in self.crash_ids:
+                oprot.writeI64(iter103)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.crashes is None:
+            raise TProtocolException(message='Required field crashes is unset!')
+        if self.ttl_ms is None:
+            raise TProtocolException(message='Required field ttl_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashSuspects(object):
+    """
+    Attributes:
+     - suspects
+
+    """
+
+    __slots__ = (
+        'suspects',
+    )
+
+
+    def __init__(self, suspects=None,):
+        self.suspects = suspects
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = CrashSuspect()
+                        _elem33.read(iprot)
+                        self.suspects.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashSuspects')
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter34 in self.suspects:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.suspects is None:
+            raise TProtocolException(message='Required field suspects is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -2080,6 +2277,7 @@
      - slot_table_push
      - key_records
      - key_records_ack
+     - crash_suspects
 
     """
 
@@ -2099,10 +2297,11 @@
         'slot_table_push',
         'key_records',
         'key_records_ack',
+        'crash_suspects',
     )
 
 
-    def __init__(self, hello=None, proof=None, call=None, answer=None, cancel=None, attempt_query=None, attempt_states=None, ping=None, pong=None, release_pull=None, release_push=None, slot_table_pull=None, slot_table_push=None, key_records=None, key_records_ack=None,):
+    def __init__(self, hello=None, proof=None, call=None, answer=None, cancel=None, attempt_query=None, attempt_states=None, ping=None, pong=None, release_pull=None, release_push=None, slot_table_pull=None, slot_table_push=None, key_records=None, key_records_ack=None, crash_suspects=None,):
         self.hello = hello
         self.proof = proof
         self.call = call
@@ -2118,6 +2317,7 @@
         self.slot_table_push = slot_table_push
         self.key_records = key_records
         self.key_records_ack = key_records_ack
+        self.crash_suspects = crash_suspects
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2218,6 +2418,12 @@
                     self.key_records_ack.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.crash_suspects = CrashSuspects()
+                    self.crash_suspects.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2288,6 +2494,10 @@
             oprot.writeFieldBegin('key_records_ack', TType.STRUCT, 15)
             self.key_records_ack.write(oprot)
             oprot.writeFieldEnd()
+        if self.crash_suspects is not None:
+            oprot.writeFieldBegin('crash_suspects', TType.STRUCT, 16)
+            self.crash_suspects.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2547,104 +2757,6 @@
         return not (self == other)
 
 
-class CrashSuspect(object):
-    """
-    Attributes:
-     - fingerprint
-     - crashes
-     - ttl_ms
-
-    """
-
-    __slots__ = (
-        'fingerprint',
-        'crashes',
-        'ttl_ms',
-    )
-
-
-    def __init__(self, fingerprint=None, crashes=None, ttl_ms=None,):
-        self.fingerprint = fingerprint
-        self.crashes = crashes
-        self.ttl_ms = ttl_ms
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.fingerprint = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I16:
-                    self.crashes = iprot.readI16()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.ttl_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('CrashSuspect')
-        if self.fingerprint is not None:
-            oprot.writeFieldBegin('fingerprint', TType.I64, 1)
-            oprot.writeI64(self.fingerprint)
-            oprot.writeFieldEnd()
-        if self.crashes is not None:
-            oprot.writeFieldBegin('crashes', TType.I16, 2)
-            oprot.writeI16(self.crashes)
-            oprot.writeFieldEnd()
-        if self.ttl_ms is not None:
-            oprot.writeFieldBegin('ttl_ms', TType.I32, 3)
-            oprot.writeI32(self.ttl_ms)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        if self.fingerprint is None:
-            raise TProtocolException(message='Required field fingerprint is unset!')
-        if self.crashes is None:
-            raise TProtocolException(message='Required field crashes is unset!')
-        if self.ttl_ms is None:
-            raise TProtocolException(message='Required field ttl_ms is unset!')
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Gossip(object):
     """
     Attributes:
@@ -2963,6 +3075,19 @@
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.I32, 'slot', None, None, ),  # 2
 )
+all_structs.append(CrashSuspect)
+CrashSuspect.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'fingerprint', None, None, ),  # 1
+    (2, TType.I16, 'crashes', None, None, ),  # 2
+    (3, TType.I32, 'ttl_ms', None, None, ),  # 3
+    (4, TType.LIST, 'crash_ids', (TType.I64, None, False), None, ),  # 4
+)
+all_structs.append(CrashSuspects)
+CrashSuspects.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'suspects', (TType.STRUCT, [CrashSuspect, None], False), None, ),  # 1
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2981,6 +3106,7 @@
     (13, TType.STRUCT, 'slot_table_push', [SlotTablePush, None], None, ),  # 13
     (14, TType.STRUCT, 'key_records', [KeyRecords, None], None, ),  # 14
     (15, TType.STRUCT, 'key_records_ack', [KeyRecordsAck, None], None, ),  # 15
+    (16, TType.STRUCT, 'crash_suspects', [CrashSuspects, None], None, ),  # 16
 )
 all_structs.append(Member)
 Member.thrift_spec = (
@@ -2999,13 +3125,6 @@
     (12, TType.BOOL, 'platform_lost', None, None, ),  # 12
     (13, TType.I16, 'failure_percent', None, None, ),  # 13
 )
-all_structs.append(CrashSuspect)
-CrashSuspect.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'fingerprint', None, None, ),  # 1
-    (2, TType.I16, 'crashes', None, None, ),  # 2
-    (3, TType.I32, 'ttl_ms', None, None, ),  # 3
-)
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
     None,  # 0
--- a/packages/protocol/radishtray_protocol/wire.thrift
+++ b/packages/protocol/radishtray_protocol/wire.thrift
@@ -146,6 +146,18 @@
   2: required i32 slot
 }
 
+struct CrashSuspect {
+  1: required i64 fingerprint
+  2: required i16 crashes
+  3: required i32 ttl_ms
+  // Ids of the crashes, or of those that an answer cleared.
+  4: optional list<i64> crash_ids
+}
+
+struct CrashSuspects {
+  1: required list<CrashSuspect> suspects
+}
+
 struct Frame {
   1: optional Hello hello
   2: optional Proof proof
@@ -162,6 +174,7 @@
   13: optional SlotTablePush slot_table_push
   14: optional KeyRecords key_records
   15: optional KeyRecordsAck key_records_ack
+  16: optional CrashSuspects crash_suspects
 }
 
 enum MemberState {
@@ -198,12 +211,6 @@
   HEARTBEAT = 4
 }
 
-struct CrashSuspect {
-  1: required i64 fingerprint
-  2: required i16 crashes
-  3: required i32 ttl_ms
-}
-
 struct Gossip {
   1: required string sender
   2: required i64 sequence
--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -39,6 +39,7 @@
 from radishtray_state._crash_tally import CrashTally
 from radishtray_state._failure_estimator import FailureEstimator
 from radishtray_state._gossip import (
+    MAX_CRASH_IDS,
     CrashSuspectEntry,
     Datagram,
     GossipKind,
@@ -137,6 +138,7 @@
     "FIRST_LEVELS",
     "HORIZON_MS",
     "LEVELS_PER_CLASS",
+    "MAX_CRASH_IDS",
     "REPLACEMENT_MARGIN_MS",
     "RETRY_RULES",
     "SELECTION_POLICIES",
--- a/packages/state/radishtray_state/_crash_suspects.py
+++ b/packages/state/radishtray_state/_crash_suspects.py
@@ -45,9 +45,15 @@
 class CrashSuspect:
     """One entry in the form that nodes exchange by gossip."""
 
-    __slots__ = ("_crashes", "_fingerprint", "_ttl_s")
-
-    def __init__(self, fingerprint: int, crashes: int, ttl_s: float) -> None:
+    __slots__ = ("_crash_ids", "_crashes", "_fingerprint", "_ttl_s")
+
+    def __init__(
+        self,
+        fingerprint: int,
+        crashes: int,
+        ttl_s: float,
+        crash_ids: tuple[int, ...] = (),
+    ) -> None:
         """Creates an entry.
 
         Args:
@@ -56,7 +62,10 @@
                 a blocked one. In entries of a `CrashTally`, the number of
                 crashes.
             ttl_s: Remaining time of the entry, in seconds.
+            crash_ids: In entries of a `CrashTally`, the ids of the crashes, or
+                of those that were cleared.
         """
+        self._crash_ids = crash_ids
         self._fingerprint = fingerprint
         self._crashes = crashes
         self._ttl_s = ttl_s
@@ -76,6 +85,11 @@
         """Remaining time of the entry, in seconds."""
         return self._ttl_s
 
+    @property
+    def crash_ids(self) -> tuple[int, ...]:
+        """Ids of the crashes that the entry is about; see `CrashTally`."""
+        return self._crash_ids
+
 
 class _Entry:
     """State of one fingerprint at this node.
@@ -268,6 +282,14 @@
             entry.expires_at = now + LIMIT_S
         return not self._has_running_suspect()
 
+    def record_abandoned(self, fingerprint: int) -> bool:
+        """Records that this node no longer waits for the end of a run.
+
+        Returns:
+            Whether a waiting suspect may run now.
+        """
+        return self.record_end(fingerprint, completed=False)
+
     def upstream_crashed(
         self, in_flight: Iterable[int] | None = None
     ) -> list[CrashSuspect]:
--- a/packages/state/radishtray_state/_crash_tally.py
+++ b/packages/state/radishtray_state/_crash_tally.py
@@ -4,9 +4,15 @@
 not possible where many requests have the same content, because a crash makes
 all of them suspects. This tally only counts crashes, over all nodes, and
 starts again as soon as a run of the content is answered.
+
+Every crash has an id. Nodes exchange the ids and keep their union, so that
+crashes that different nodes saw add up, and a crash that several nodes report
+counts once. An answer clears the ids that are known where it arrives.
 """
 
-from collections.abc import Iterable
+import itertools
+import random
+from collections.abc import Callable, Iterable
 
 from radishtray_state._clock import Clock
 from radishtray_state._crash_suspects import CrashSuspect, SuspectVerdict
@@ -16,22 +22,55 @@
 # any answer in between is not expected.
 BLOCK_THRESHOLD = 3
 _RETENTION_S = 60.0
-# Longer than gossip entries that were sent before the answer are in transit.
-_CLEARED_RETENTION_S = 10.0
+# A crash within this time after a run was abandoned counts against it, because
+# the upstream may not have noticed.
+_ABANDONED_RUN_S = 1.0
 _MAX_ENTRIES = 2048
+_CRASH_ID_BITS = 63
+
+
+class _Entry:
+    """Ids of the crashes of one content, or of those that an answer cleared."""
+
+    __slots__ = ("crash_ids", "expires_at")
+
+    def __init__(self, crash_ids: set[int], expires_at: float) -> None:
+        self.crash_ids = crash_ids
+        self.expires_at = expires_at
+
+    @property
+    def importance(self) -> tuple[int, float]:
+        """Order in which entries are kept if there are too many."""
+        return len(self.crash_ids), self.expires_at
 
 
 class CrashTally:
     """Counts the crashes of each content until one of its runs is answered."""
 
-    __slots__ = ("_cleared_until", "_clock", "_entries", "_running_counts")
+    __slots__ = (
+        "_abandoned_until",
+        "_cleared",
+        "_clock",
+        "_entries",
+        "_exports",
+        "_rng",
+        "_running_counts",
+    )
 
-    def __init__(self, clock: Clock) -> None:
-        """Creates an empty tally."""
+    def __init__(self, clock: Clock, rng: random.Random | None = None) -> None:
+        """Creates an empty tally.
+
+        Args:
+            clock: Time source.
+            rng: Source of crash ids, which must differ between nodes.
+        """
         self._clock = clock
-        self._entries: dict[int, tuple[int, float]] = {}
-        self._cleared_until: dict[int, float] = {}
+        self._rng = rng or random.SystemRandom()
+        self._entries: dict[int, _Entry] = {}
+        self._cleared: dict[int, _Entry] = {}
         self._running_counts: dict[int, int] = {}
+        self._abandoned_until: dict[int, float] = {}
+        self._exports = 0
 
     @property
     def block_threshold(self) -> int:
@@ -47,10 +86,10 @@
         entry = self._entries.get(fingerprint)
         if entry is None:
             return 0
-        if entry[1] <= self._clock.monotonic():
+        if entry.expires_at <= self._clock.monotonic():
             del self._entries[fingerprint]
             return 0
-        return entry[0]
+        return len(entry.crash_ids)
 
     def check(self, fingerprint: int, crash_count: int = 0) -> SuspectVerdict:
         """Returns whether a content may run.
@@ -82,11 +121,36 @@
             value matches that of `CrashSuspects.record_end`.
         """
         self._remove_run(fingerprint)
-        if completed and self._entries.pop(fingerprint, None) is not None:
-            now = self._clock.monotonic()
-            self._cleared_until[fingerprint] = now + _CLEARED_RETENTION_S
+        if completed:
+            self._clear(fingerprint)
+        return False
+
+    def record_abandoned(self, fingerprint: int) -> bool:
+        """Records that this node no longer waits for the end of a run.
+
+        Returns:
+            Always False, as `record_end` does.
+        """
+        self._remove_run(fingerprint)
+        now = self._clock.monotonic()
+        if len(self._abandoned_until) >= _MAX_ENTRIES:
+            self._abandoned_until = {
+                f: t for f, t in self._abandoned_until.items() if t > now
+            }
+        if len(self._abandoned_until) < _MAX_ENTRIES:
+            self._abandoned_until[fingerprint] = now + _ABANDONED_RUN_S
         return False
 
+    def _clear(self, fingerprint: int) -> None:
+        entry = self._entries.pop(fingerprint, None)
+        if entry is not None:
+            self._add_cleared(fingerprint, entry.crash_ids, _RETENTION_S)
+
+    def _add_cleared(
+        self, fingerprint: int, crash_ids: Iterable[int], ttl_s: float
+    ) -> None:
+        self._add(self._cleared, fingerprint, crash_ids, ttl_s)
+
     def _remove_run(self, fingerprint: int) -> None:
         count = self._running_counts.get(fingerprint, 0) - 1
         if count > 0:
@@ -94,65 +158,145 @@
         else:
             self._running_counts.pop(fingerprint, None)
 
-    def upstream_crashed(self) -> None:
-        """Counts one crash for each content that was running."""
-        for fingerprint in list(self._running_counts):
-            self.record_crash(fingerprint)
+    def upstream_crashed(self) -> list[CrashSuspect]:
+        """Counts one crash for each content that was running.
+
+        Returns:
+            What this changed, for the other nodes of the service.
+        """
+        now = self._clock.monotonic()
+        crash_id = self._new_crash_id()
+        abandoned = [f for f, t in self._abandoned_until.items() if t > now]
+        running = dict.fromkeys((*self._running_counts, *abandoned))
         self._running_counts.clear()
+        self._abandoned_until.clear()
+        for fingerprint in running:
+            self._add_crashes(fingerprint, (crash_id,), _RETENTION_S)
+        return [
+            self._export_entry(fingerprint, self._entries[fingerprint], now)
+            for fingerprint in running
+            if fingerprint in self._entries
+        ]
 
     def record_crash(self, fingerprint: int) -> int:
         """Counts one crash and returns the new count."""
-        count = self.crashes(fingerprint) + 1
-        self._set_entry(fingerprint, count, _RETENTION_S)
-        return count
-
-    def _set_entry(self, fingerprint: int, crashes: int, ttl_s: float) -> None:
-        if len(self._entries) >= _MAX_ENTRIES:
-            oldest = min(self._entries, key=lambda f: self._entries[f][1])
-            del self._entries[oldest]
+        self._add_crashes(fingerprint, (self._new_crash_id(),), _RETENTION_S)
+        return self.crashes(fingerprint)
+
+    def _new_crash_id(self) -> int:
+        return self._rng.getrandbits(_CRASH_ID_BITS)
+
+    def _add_crashes(
+        self, fingerprint: int, crash_ids: Iterable[int], ttl_s: float
+    ) -> None:
+        """Adds crashes that were not cleared, up to the block threshold."""
+        cleared = self._cleared.get(fingerprint)
+        known = self._entries.get(fingerprint)
+        limit = BLOCK_THRESHOLD - (len(known.crash_ids) if known else 0)
+        new_ids = [
+            crash_id
+            for crash_id in crash_ids
+            if (cleared is None or crash_id not in cleared.crash_ids)
+            and (known is None or crash_id not in known.crash_ids)
+        ][:limit]
+        if new_ids:
+            self._add(self._entries, fingerprint, new_ids, ttl_s)
+
+    def _add(
+        self,
+        entries: dict[int, _Entry],
+        fingerprint: int,
+        crash_ids: Iterable[int],
+        ttl_s: float,
+    ) -> None:
         expires_at = self._clock.monotonic() + ttl_s
-        self._entries[fingerprint] = (crashes, expires_at)
+        entry = entries.get(fingerprint)
+        if entry is not None:
+            entry.crash_ids.update(crash_ids)
+            entry.expires_at = max(entry.expires_at, expires_at)
+            return
+        if len(entries) >= _MAX_ENTRIES:
+            del entries[min(entries, key=lambda f: entries[f].importance)]
+        entries[fingerprint] = _Entry(set(crash_ids), expires_at)
 
     def merge(self, suspects: Iterable[CrashSuspect]) -> None:
         """Applies entries received from another node.
 
-        An entry with 0 crashes clears its content. Another entry replaces a
-        lower count, unless the content was cleared recently.
+        An entry with 0 crashes clears the crashes that it names. Entries
+        without crash ids, which earlier versions send, are ignored.
         """
-        now = self._clock.monotonic()
         for suspect in suspects:
             fingerprint = suspect.fingerprint
-            if suspect.crashes == 0:
-                self._entries.pop(fingerprint, None)
-                self._cleared_until[fingerprint] = now + suspect.ttl_s
-            elif self._cleared_until.get(
-                fingerprint, 0.0
-            ) <= now and suspect.crashes > self.crashes(fingerprint):
-                self._set_entry(fingerprint, suspect.crashes, suspect.ttl_s)
+            ttl_s = min(suspect.ttl_s, _RETENTION_S)
+            if not suspect.crash_ids or ttl_s <= 0:
+                continue
+            if suspect.crashes:
+                self.crashes(fingerprint)  # Drops an expired entry.
+                self._add_crashes(fingerprint, suspect.crash_ids, ttl_s)
+                continue
+            self._add_cleared(fingerprint, suspect.crash_ids, ttl_s)
+            entry = self._entries.get(fingerprint)
+            if entry is not None:
+                entry.crash_ids.difference_update(suspect.crash_ids)
+                if not entry.crash_ids:
+                    del self._entries[fingerprint]
 
     def export(self, limit: int = 8) -> list[CrashSuspect]:
         """Returns the entries to send to other nodes.
 
-        Half of the limit goes to the contents with the most crashes. Cleared
-        contents follow, then the remaining ones.
+        Half of the limit goes to contents with several crashes. Cleared ones
+        follow, up to a quarter, then those with one crash. Consecutive calls
+        return the entries of each group in turn.
 
         Args:
             limit: Maximum number of entries to return.
         """
         now = self._clock.monotonic()
-        self._cleared_until = {
-            f: t for f, t in self._cleared_until.items() if t > now
-        }
-        by_crashes = sorted(self._entries.items(), key=lambda item: -item[1][0])
-        entries = [
-            CrashSuspect(fingerprint, crashes, expires_at - now)
-            for fingerprint, (crashes, expires_at) in by_crashes
-            if expires_at > now
-        ]
-        cleared_entries = [
-            CrashSuspect(fingerprint, 0, until - now)
-            for fingerprint, until in self._cleared_until.items()
+        for entries in (self._entries, self._cleared):
+            for fingerprint in [
+                f for f, entry in entries.items() if entry.expires_at <= now
+            ]:
+                del entries[fingerprint]
+        self._exports += 1
+        several = self._page(
+            limit // 2, lambda entry: len(entry.crash_ids) > 1, self._entries
+        )
+        cleared = self._page(limit // 4, lambda _: True, self._cleared)
+        single = self._page(
+            limit - len(several) - len(cleared),
+            lambda entry: len(entry.crash_ids) == 1,
+            self._entries,
+        )
+        return [
+            *(self._export_entry(f, entry, now) for f, entry in several),
+            *(
+                self._export_entry(f, entry, now, is_cleared=True)
+                for f, entry in cleared
+            ),
+            *(self._export_entry(f, entry, now) for f, entry in single),
         ]
-        return (
-            entries[: limit // 2] + cleared_entries + entries[limit // 2 :]
-        )[:limit]
+
+    def _page(
+        self,
+        size: int,
+        is_selected: Callable[[_Entry], bool],
+        entries: dict[int, _Entry],
+    ) -> list[tuple[int, _Entry]]:
+        """Returns the next entries of a group, in turn."""
+        group = [item for item in entries.items() if is_selected(item[1])]
+        if not group:
+            return []
+        start = self._exports * size % len(group)
+        return list(itertools.islice(group[start:] + group[:start], size))
+
+    @staticmethod
+    def _export_entry(
+        fingerprint: int, entry: _Entry, now: float, *, is_cleared: bool = False
+    ) -> CrashSuspect:
+        crash_ids = tuple(sorted(entry.crash_ids)[:BLOCK_THRESHOLD])
+        return CrashSuspect(
+            fingerprint,
+            0 if is_cleared else len(entry.crash_ids),
+            entry.expires_at - now,
+            crash_ids,
+        )
--- a/packages/state/radishtray_state/_gossip.py
+++ b/packages/state/radishtray_state/_gossip.py
@@ -33,6 +33,9 @@
     ttl_ms: int
     """Milliseconds until the entry expires."""
 
+    crash_ids: tuple[int, ...] = ()
+    """Ids of up to `MAX_CRASH_IDS` crashes that the entry is about."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ViewSummary:
@@ -94,10 +97,11 @@
 # Sizes in the Thrift binary protocol: a field header takes 3 bytes, the end of
 # a struct 1, the length of a string 4, and the header of a list 5.
 _FIXED_RECORD_BYTES = 13 * 3 + 1 + 5 * 4 + 8 + 4 + 8 + 4 + 1 + 1 + 1 + 2
-CRASH_SUSPECT_BYTES = 3 * 3 + 1 + 8 + 2 + 4
+MAX_CRASH_IDS = 3
+CRASH_SUSPECT_BYTES = 3 * 3 + 1 + 8 + 2 + 4 + 3 + 5 + MAX_CRASH_IDS * 8
 _FIXED_MESSAGE_BYTES = 8 * 3 + 1 + 2 * 4 + 8 + 4 + 5 + 8 + 5 + 8
 MAX_SUMMARY_BYTES = 2 + 3 + 16 * 8  # Flag, colons, prefix, digests.
-MAX_CRASH_SUSPECTS = 8  # 200 bytes; leaves most of a datagram to records.
+MAX_CRASH_SUSPECTS = 8  # 448 bytes; leaves most of a datagram to records.
 
 
 def record_bytes(record: MemberRecord) -> int:
--- a/packages/state/radishtray_state/tests/test_crash_tally.py
+++ b/packages/state/radishtray_state/tests/test_crash_tally.py
@@ -5,7 +5,6 @@
 """
 
 from radishtray_state import (
-    CrashSuspect,
     CrashTally,
     ManualClock,
     SuspectVerdict,
@@ -46,11 +45,13 @@
     for _ in range(3):
         crash(here, CRASHING, HARMLESS)
         there.merge(here.export())
+    late_report = here.export()
+    assert there.check(HARMLESS) is SuspectVerdict.REFUSE
     here.record_start(HARMLESS)
     here.record_end(HARMLESS)
     there.merge(here.export())
     # A report from before the answer arrives late and must be ignored.
-    there.merge([CrashSuspect(HARMLESS, 3, 50.0)])
+    there.merge(late_report)
     assert there.check(HARMLESS) is SuspectVerdict.RUN
     assert there.check(CRASHING) is SuspectVerdict.REFUSE
 
@@ -81,3 +82,57 @@
         tally.record_crash(digest)
     assert len(tally) <= 2048
     assert tally.crashes(4999) == 1
+
+
+def test_crashes_that_nodes_saw_at_the_same_time_are_added_up() -> None:
+    clock = ManualClock()
+    nodes = [CrashTally(clock) for _ in range(3)]
+    for node in nodes:
+        crash(node, CRASHING)
+    reports = [node.export() for node in nodes]
+    for node in nodes:
+        for report in reports:
+            node.merge(report)
+            node.merge(report)
+    assert all(n.check(CRASHING) is SuspectVerdict.REFUSE for n in nodes)
+
+
+def test_a_crash_that_is_reported_by_all_nodes_counts_once() -> None:
+    clock = ManualClock()
+    nodes = [CrashTally(clock) for _ in range(5)]
+    crash(nodes[0], CRASHING)
+    for _ in range(3):
+        for node in nodes:
+            for other in nodes:
+                other.merge(node.export())
+    assert {node.crashes(CRASHING) for node in nodes} == {1}
+
+
+def test_every_content_of_a_crash_is_exported_in_turn() -> None:
+    tally = CrashTally(ManualClock())
+    crash(tally, *range(64))
+    exported = {s.fingerprint for _ in range(12) for s in tally.export()}
+    assert exported == set(range(64))
+
+
+def test_a_run_abandoned_just_before_the_crash_counts() -> None:
+    clock = ManualClock()
+    tally = CrashTally(clock)
+    tally.record_start(CRASHING)
+    tally.record_abandoned(CRASHING)
+    clock.advance(0.5)
+    tally.upstream_crashed()
+    assert tally.crashes(CRASHING) == 1
+
+
+def test_an_answer_clears_only_crashes_that_were_known() -> None:
+    clock = ManualClock()
+    here, there = CrashTally(clock), CrashTally(clock)
+    crash(here, CRASHING)
+    there.merge(here.export())
+    there.record_start(CRASHING)
+    there.record_end(CRASHING)
+    crash(here, CRASHING)
+    here.merge(there.export())
+    there.merge(here.export())
+    assert (here.crashes(CRASHING), there.crashes(CRASHING)) == (1, 1)
--- a/packages/testing/radishtray_testing/gateway_builders.py
+++ b/packages/testing/radishtray_testing/gateway_builders.py
@@ -553,10 +553,23 @@
             name: Node id of its gateway.
             keeps_port: Whether the new upstream listens on the same port.
         """
+        port = self.upstreams[name].port if keeps_port else 0
+        self.kill_upstream(name)
+        self.start_upstream(name, port=port)
+
+    def kill_upstream(self, name: str) -> None:
+        """Kills the process of an upstream, which resets its connections."""
         process = self._members[name].upstream_process
         if process is not None:
             process.kill()
-        port = self.upstreams[name].port if keeps_port else 0
+
+    def start_upstream(self, name: str, *, port: int = 0) -> None:
+        """Starts another process of an upstream, which reports at once.
+
+        Args:
+            name: Node id of its gateway.
+            port: TCP port of the upstream; 0 chooses a free one.
+        """
         self._start_upstream(name, port)
         self.report(name)
 
--- a/packages/transport/radishtray_transport/_gossip_codec.py
+++ b/packages/transport/radishtray_transport/_gossip_codec.py
@@ -20,6 +20,7 @@
     wire,
 )
 from radishtray_state import (
+    MAX_CRASH_IDS,
     CrashSuspectEntry,
     GossipKind,
     GossipMessage,
@@ -108,7 +109,12 @@
         [_member_to_wire(record) for record in message.updates],
         message.generation,
         [
-            wire.CrashSuspect(note.fingerprint, note.crashes, note.ttl_ms)
+            wire.CrashSuspect(
+                note.fingerprint,
+                note.crashes,
+                note.ttl_ms,
+                list(note.crash_ids) or None,
+            )
             for note in message.suspects
         ],
     )
@@ -138,7 +144,12 @@
 
 def _suspect_from_wire(note: wire.CrashSuspect) -> CrashSuspectEntry:
     note.validate()
-    return CrashSuspectEntry(note.fingerprint, note.crashes, note.ttl_ms)
+    crash_ids = tuple(note.crash_ids or ())
+    if len(crash_ids) > MAX_CRASH_IDS:
+        raise ValueError(f"crash suspect has {len(crash_ids)} crash ids")
+    return CrashSuspectEntry(
+        note.fingerprint, note.crashes, note.ttl_ms, crash_ids
+    )
 
 
 def _member_to_wire(record: MemberRecord) -> wire.Member:
--- a/packages/transport/radishtray_transport/tests/test_gossip_socket.py
+++ b/packages/transport/radishtray_transport/tests/test_gossip_socket.py
@@ -57,6 +57,7 @@
     fingerprint=st.integers(-(2**63), 2**63 - 1),
     crashes=st.integers(0, 100),
     ttl_ms=st.integers(0, 60_000),
+    crash_ids=st.lists(st.integers(0, 2**63 - 1), max_size=3).map(tuple),
 )
 SUMMARIES = st.builds(
     ViewSummary,
@@ -69,7 +70,12 @@
     sender=st.text(min_size=1, max_size=16),
     sequence=NUMBERS,
     kind=st.sampled_from(
-        [GossipKind.PING, GossipKind.ACK, GossipKind.PING_REQUEST]
+        [
+            GossipKind.PING,
+            GossipKind.ACK,
+            GossipKind.PING_REQUEST,
+            GossipKind.HEARTBEAT,
+        ]
     ),
     target=st.none() | TEXTS,
     updates=st.lists(RECORDS, max_size=3).map(tuple),
@@ -186,7 +192,9 @@
     """
     clock = ManualClock()
     node = Membership(member_record(0), clock, random.Random(1))
-    node.set_crash_suspects(CrashSuspectEntry(i, 1, 60_000) for i in range(9))
+    node.set_crash_suspects(
+        CrashSuspectEntry(i, 1, 60_000, (1, 2, 3)) for i in range(9)
+    )
     peers = [member_record(i, service="té" * 20) for i in range(1, 200)]
     full_push = GossipMessage(
         "p", 1, GossipKind.PUSH, None, tuple(peers), 0, ()
