Keep the request rate that an upstream states

Cause: nodes did not read the statement. All requests to an upstream pass through the node beside it, so the rate is kept there, for all senders together: a token bucket of a quarter of a second in front of the slots, which also bounds the capacity that load shedding works with, so that senders turn to other upstreams. Requests that the upstream rejected and gets again take a token too. The class of fault: capacity that only the receiver knows, and that senders must not exceed.

The state: the last stated rate; it ends with an answer that states none to a request sent after the last answer that stated one, or with another process of the upstream. It is not replicated. A restarted node does not know it, so it sends one request a second (two at once) until the first answer, or takes the rate from the health check.

Ruled out: a share of the rate for each sender (sums up to more than the rate when the shares are stale).

--- a/packages/node/radishtray_node/_forwarding.py
+++ b/packages/node/radishtray_node/_forwarding.py
@@ -6,6 +6,8 @@
 """
 
 import itertools
+import logging
+from math import isfinite
 from typing import Protocol
 
 from radishtray_node._running_request import RunningRequest
@@ -20,6 +22,7 @@
     ResponseRules,
 )
 
+_LOG = logging.getLogger(__name__)
 CONTEXT_HEADER = "Radishtray-Context"
 DEADLINE_HEADER = "Radishtray-Deadline-Ms"
 REQUEST_ID_HEADER = "Radishtray-Request-Id"
@@ -32,6 +35,27 @@
 _MISDIRECTED_REQUEST = 421
 
 
+class UpstreamStatements:
+    """What a response states about its upstream.
+
+    Attributes:
+        limit_per_s: Requests per second that the upstream takes, or None.
+        is_leaving: Whether the upstream is leaving.
+    """
+
+    __slots__ = ("is_leaving", "limit_per_s")
+
+    def __init__(
+        self, limit_per_s: float | None = None, *, is_leaving: bool = False
+    ) -> None:
+        """Stores the statements."""
+        self.limit_per_s = limit_per_s
+        self.is_leaving = is_leaving
+
+
+_NO_STATEMENTS = UpstreamStatements()
+
+
 class Forwarding(Protocol):
     """How a node sends calls to the upstream beside it.
 
@@ -74,6 +98,10 @@
         """Returns why a response must not be delivered, or None."""
         ...
 
+    def read_statements(self, response: HttpResponse) -> UpstreamStatements:
+        """Returns what a response states about its upstream."""
+        ...
+
 
 class ContextForwarding:
     """Forwarding over the product's own upstream interface.
@@ -135,6 +163,11 @@
         del response
         return None
 
+    def read_statements(self, response: HttpResponse) -> UpstreamStatements:
+        """Returns no statements: this interface has none."""
+        del response
+        return _NO_STATEMENTS
+
 
 class HeaderNames:
     """Names of the headers that carry a forwarded request's context.
@@ -150,6 +183,9 @@
         signature: Present in a complete response of an upstream that ran the
             request.
         instance: Id of the upstream process, in responses to health checks.
+        limit: Requests per second that the upstream takes, while it needs such
+            a limit.
+        leaving: Present in the responses of an upstream that is leaving.
     """
 
     __slots__ = (
@@ -157,6 +193,8 @@
         "deadline_ms",
         "expected_instance",
         "instance",
+        "leaving",
+        "limit",
         "not_run",
         "request_id",
         "signature",
@@ -172,6 +210,8 @@
         not_run: str,
         signature: str,
         instance: str,
+        limit: str,
+        leaving: str,
     ) -> None:
         """Stores the names unchecked."""
         self.request_id = request_id
@@ -181,6 +221,8 @@
         self.not_run = not_run
         self.signature = signature
         self.instance = instance
+        self.limit = limit
+        self.leaving = leaving
 
     @property
     def set_by_nodes(self) -> frozenset[bytes]:
@@ -263,3 +305,28 @@
             # would take this status to mean that it did not.
             return RefusalReason.UPSTREAM_LOST
         return None
+
+    def read_statements(self, response: HttpResponse) -> UpstreamStatements:
+        """Returns what a response states about its upstream."""
+        names = self._header_names
+        limit = response.header(names.limit)
+        is_leaving = response.header(names.leaving) is not None
+        if limit is None and not is_leaving:
+            return _NO_STATEMENTS
+        return UpstreamStatements(_parse_limit(limit), is_leaving=is_leaving)
+
+
+def _parse_limit(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        limit_per_s = -1.0
+    if isfinite(limit_per_s) and limit_per_s >= 0:
+        return limit_per_s
+    _LOG.warning(
+        "upstream states a request rate that is not a number; ignoring it",
+        extra={"text": text[:32]},
+    )
+    return None
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -179,6 +179,7 @@
             reactor,
             self._timers,
             self.upstream,
+            self._upstream_server.forwarding,
             settings.headers.instance,
             is_restart=not settings.is_first_start,
         )
@@ -234,6 +235,7 @@
             lambda fault: self.metrics.response_faults.labels(
                 fault.value
             ).inc(),
+            is_restart=not self.settings.is_first_start,
         )
         server = UpstreamServer(
             self.clock,
--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -287,6 +287,7 @@
             or self._is_answered
             or self.request.deadline_s - now_s < _MIN_REPEAT_TIME_S
             or not repeats.try_take(self.request.rank)
+            or not self._server.upstream.admission.stated_limit.try_take()
         ):
             return False
         self._server.metrics.retries.labels(
@@ -301,6 +302,10 @@
     def _handle_response(self, response: HttpResponse) -> None:
         fault = self._server.forwarding.rejection_reason(response)
         is_rejected = fault is RefusalReason.UPSTREAM_BUSY
+        assert self._process is not None
+        self._server.record_statements(
+            self._process, response, self._phase_started_s
+        )
         if self._server.rejection_repeats is not None:
             self._server.rejection_repeats.count_outcome(
                 is_rejected=is_rejected
@@ -312,7 +317,6 @@
                 self._record_failure(is_timeout=False)
             self._finish_run(is_measured=False)
             self._server.note_run_finished(self.request.fingerprint, False)
-            assert self._process is not None
             self._server.upstream.handle_fault(self._process, fault)
             self._refuse(fault)
             return
--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -187,6 +187,7 @@
 
     __slots__ = (
         "_clock",
+        "_identity",
         "_last_heartbeat_s",
         "_on_change",
         "_on_crash",
@@ -211,6 +212,8 @@
         response_rules: ResponseRules | None = None,
         used_share: float = 1.0,
         on_response_fault: Callable[[ResponseFault], None] = lambda _: None,
+        *,
+        is_restart: bool = False,
     ) -> None:
         """Creates the state before the first announcement.
 
@@ -228,6 +231,8 @@
             used_share: Share of the announced slots that this node uses.
             on_response_fault: Called with each fault in what the upstream
                 sends.
+            is_restart: Whether an earlier process of the node may have known a
+                request rate of the upstream.
         """
         self._on_response_fault = on_response_fault
         self._response_rules = response_rules
@@ -236,10 +241,16 @@
         self._on_change = on_change
         self._on_crash = on_crash
         self._last_heartbeat_s = 0.0
+        self._identity: tuple[str, int] | None = None
         self.announcement: Announcement | None = None
         self.process: UpstreamProcess | None = None
         self.admission = AdmissionController(
-            clock, rng, 1, admission_policy, used_share
+            clock,
+            rng,
+            1,
+            admission_policy,
+            used_share,
+            is_restart=is_restart,
         )
         self.suspects = suspects
 
@@ -291,6 +302,10 @@
     def _replace_process(self, announcement: Announcement) -> None:
         if self.process is not None:
             self.process.client.close()
+        identity = (announcement.instance, announcement.started_ms)
+        if self._identity not in (None, identity):
+            self.admission.stated_limit.reset()
+        self._identity = identity
         client = HttpClient(
             self._reactor,
             announcement.host,
@@ -304,6 +319,30 @@
         if announcement.cold_start_s > 0:
             self.admission.begin_cold_start(announcement.cold_start_s)
 
+    def record_stated_limit(
+        self,
+        process: UpstreamProcess,
+        stated_per_s: float | None,
+        sent_at_s: float,
+    ) -> None:
+        """Applies the request rate that an answer states.
+
+        Args:
+            process: The process that answered; nothing follows if it has been
+                replaced.
+            stated_per_s: Requests per second, or None if the answer states
+                none.
+            sent_at_s: Monotonic time at which its request was sent.
+        """
+        limit = self.admission.stated_limit
+        if process is self.process and limit.record_answer(
+            stated_per_s, sent_at_s
+        ):
+            _LOG.info(
+                "the request rate that the upstream takes has changed",
+                extra={"service": self.service, "per_s": stated_per_s},
+            )
+
     def handle_fault(
         self, process: UpstreamProcess, fault: RefusalReason
     ) -> None:
--- a/packages/node/radishtray_node/_upstream_reports.py
+++ b/packages/node/radishtray_node/_upstream_reports.py
@@ -6,9 +6,9 @@
 
 import logging
 from collections.abc import Callable, Mapping
+from typing import Any
 
-from twisted.internet.interfaces import IReactorTCP
-
+from radishtray_node._forwarding import Forwarding
 from radishtray_node._local_upstream import Announcement, LocalUpstream
 from radishtray_node._timers import TimerWheel
 from radishtray_state import (
@@ -27,6 +27,7 @@
     """Announces and withdraws the upstream as its reports say."""
 
     __slots__ = (
+        "_forwarding",
         "_health_paths",
         "_instance_header",
         "_reactor",
@@ -38,9 +39,10 @@
 
     def __init__(
         self,
-        reactor: IReactorTCP,
+        reactor: Any,
         timers: TimerWheel,
         upstream: LocalUpstream,
+        forwarding: Forwarding,
         instance_header: str,
         *,
         is_restart: bool,
@@ -51,6 +53,7 @@
             reactor: The Twisted reactor.
             timers: Timer of the health check.
             upstream: The upstream beside the node.
+            forwarding: Reads what responses state about the upstream.
             instance_header: Name of the header with the id of the process in
                 responses to health checks.
             is_restart: Whether an earlier process of the node may have
@@ -59,6 +62,7 @@
         self._reactor = reactor
         self._timers = timers
         self._upstream = upstream
+        self._forwarding = forwarding
         self._instance_header = instance_header
         self._tracker = UpstreamReportTracker(is_restart=is_restart)
         self._unconfirmed_report: UpstreamReport | None = None
@@ -148,12 +152,18 @@
         """
         client = HttpClient(self._reactor, report.host, report.port, 1)
 
+        sent_at_s = self._reactor.seconds()
+
         def handle_response(response: HttpResponse) -> None:
             client.close()
-            on_result(
-                response.status == _OK
-                and response.header(self._instance_header) == report.instance
+            if response.header(self._instance_header) != report.instance:
+                on_result(False)
+                return
+            statements = self._forwarding.read_statements(response)
+            self._upstream.admission.stated_limit.record_answer(
+                statements.limit_per_s, sent_at_s
             )
+            on_result(response.status == _OK and not statements.is_leaving)
 
         def handle_failure(_failure: RequestFailure) -> None:
             client.close()
--- a/packages/node/radishtray_node/_upstream_server.py
+++ b/packages/node/radishtray_node/_upstream_server.py
@@ -5,7 +5,7 @@
 from radishtray_node._call_result import CallResult
 from radishtray_node._forwarding import Forwarding
 from radishtray_node._incoming_call import DoneCallback, IncomingCall
-from radishtray_node._local_upstream import LocalUpstream
+from radishtray_node._local_upstream import LocalUpstream, UpstreamProcess
 from radishtray_node._metrics import Metrics
 from radishtray_node._running_request import MAX_CALL_DEPTH, RunningRequests
 from radishtray_node._timers import TimerWheel
@@ -20,6 +20,7 @@
     RefusalReason,
     RejectionRepeats,
 )
+from radishtray_transport import HttpResponse
 
 # Short in comparison to the deadlines of calls, which are about a second.
 _QUEUE_EXPIRY_INTERVAL_S = 0.05
@@ -49,6 +50,8 @@
             to it again; None for none.
         failures: Estimate of how often the upstream fails requests by itself.
         on_failure: Called after each such failure.
+        on_leaving: Called with each response that says that the upstream is
+            leaving.
         is_draining: Whether new calls are refused.
     """
 
@@ -67,6 +70,7 @@
         "metrics",
         "on_failure",
         "on_key_not_owned",
+        "on_leaving",
         "queue_timer",
         "rejection_repeats",
         "running_calls",
@@ -90,6 +94,7 @@
         forwarding: Forwarding,
         rejection_repeats: RejectionRepeats | None = None,
         on_failure: Callable[[], None] = lambda: None,
+        on_leaving: Callable[[], None] = lambda: None,
     ) -> None:
         """Creates a server without calls.
 
@@ -109,9 +114,12 @@
             rejection_repeats: Which requests that the upstream rejected are
                 sent to it again; None for none.
             on_failure: Called after each failure of the upstream itself.
+            on_leaving: Called with each response that says that the upstream is
+                leaving.
         """
         self.failures = FailureEstimator(clock)
         self.on_failure = on_failure
+        self.on_leaving = on_leaving
         self.forwarding = forwarding
         self.rejection_repeats = rejection_repeats
         self.would_calls_be_refused = would_calls_be_refused
@@ -215,6 +223,23 @@
         if self.upstream.suspects.record_abandoned(fingerprint):
             self.recheck_waiting_suspects()
 
+    def record_statements(
+        self, process: UpstreamProcess, response: HttpResponse, sent_at_s: float
+    ) -> None:
+        """Applies what a response states about the upstream.
+
+        Args:
+            process: The process that answered.
+            response: Its response.
+            sent_at_s: Monotonic time at which the request was sent.
+        """
+        statements = self.forwarding.read_statements(response)
+        self.upstream.record_stated_limit(
+            process, statements.limit_per_s, sent_at_s
+        )
+        if statements.is_leaving and process is self.upstream.process:
+            self.on_leaving()
+
     def record_success(self) -> None:
         """Records that the upstream served a request."""
         self._last_success_s = self.clock.monotonic()
--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -127,6 +127,7 @@
 )
 from radishtray_state._service_rejections import ServiceRejections
 from radishtray_state._split_rotation import WeightedRoundRobin
+from radishtray_state._stated_limit import StatedLimit
 from radishtray_state._upstream_reports import (
     ReportVerdict,
     UpstreamReport,
@@ -211,6 +212,7 @@
     "SlotInterval",
     "SlotOwner",
     "SlotTable",
+    "StatedLimit",
     "SuspectVerdict",
     "SystemClock",
     "Ticket",
--- a/packages/state/radishtray_state/_admission.py
+++ b/packages/state/radishtray_state/_admission.py
@@ -1,8 +1,8 @@
 """Admission control of one upstream.
 
-Combines a concurrency limit (slots), a bounded priority queue, load shedding
-below a priority threshold, and early refusal of requests that would miss their
-deadline.
+Combines a concurrency limit (slots), the request rate that the upstream states,
+a bounded priority queue, load shedding below a priority threshold, and early
+refusal of requests that would miss their deadline.
 
 Source: docs/design.md, section 6.2.
 """
@@ -23,6 +23,7 @@
 from radishtray_state._rank_threshold import RankThreshold
 from radishtray_state._refusal import RefusalReason
 from radishtray_state._service_times import ServiceTimes
+from radishtray_state._stated_limit import StatedLimit
 
 _WINDOW_S = 0.05
 # While nothing is queued and every rank is admitted, the arrival rates are
@@ -56,6 +57,9 @@
 
     A request runs at once, is queued, or is refused. A request that runs is
     never aborted. All refusals belong to the family `not_run`.
+
+    Attributes:
+        stated_limit: Request rate that the upstream states.
     """
 
     __slots__ = (
@@ -73,6 +77,7 @@
         "_threshold",
         "_used_share",
         "_window_start",
+        "stated_limit",
     )
 
     def __init__(
@@ -82,6 +87,8 @@
         slots: int,
         policy: str = "adaptive",
         used_share: float = 1.0,
+        *,
+        is_restart: bool = False,
     ) -> None:
         """Starts with all slots available, an empty queue and threshold 0.
 
@@ -94,6 +101,8 @@
             used_share: Share of the slots that is used. Some upstreams slow
                 down when nearly all slots are busy, so that using the last
                 slots lowers their throughput.
+            is_restart: Whether an earlier process of the node may have known a
+                request rate of the upstream.
 
         Raises:
             ValueError: If the policy is unknown, slots is not positive or the
@@ -110,6 +119,7 @@
                 f"unknown admission policy {policy!r}; expected one of {known}"
             )
         self._clock = clock
+        self.stated_limit = StatedLimit(clock, is_restart=is_restart)
         self._policy = ADMISSION_POLICIES[policy]
         self._queue = RankQueue(self._policy.orders_by_rank)
         self._expiries: list[tuple[float, int, Ticket]] = []
@@ -146,8 +156,15 @@
     @property
     def queue_ms(self) -> float:
         """Milliseconds in which the present queue would drain."""
+        mean_service_s = self._service_times.mean
+        if not self._queue.size or not mean_service_s:
+            return 0.0
         limit = self._slot_limit(self._clock.monotonic())
-        return 1000.0 * self._queue.size * self._service_times.mean / limit
+        return 1000.0 * self._queue.size / self._capacity(limit, mean_service_s)
+
+    def _capacity(self, slot_limit: int, mean_service_s: float) -> float:
+        """Returns the requests per second that can run."""
+        return min(slot_limit / mean_service_s, self.stated_limit.rate_per_s)
 
     def set_slots(self, slots: int) -> None:
         """Sets the number of slots.
@@ -188,7 +205,7 @@
                 return RefusalReason.SHED
         if policy.enforces_deadlines and self._would_miss_deadline(ticket, now):
             return RefusalReason.DEADLINE_EXPECTED
-        if not self._queue.size and self._in_flight < self._slot_limit(now):
+        if not self._queue.size and self._try_start(now):
             self._run(ticket)
             return None
         return self._enqueue(ticket)
@@ -252,6 +269,13 @@
         share = _COLD_START_SHARE + (1 - _COLD_START_SHARE) * progress
         return max(1, int(self._slots * share))
 
+    def _try_start(self, now: float) -> bool:
+        """Takes the permission to run one request, if there is one."""
+        return (
+            self._in_flight < self._slot_limit(now)
+            and self.stated_limit.try_take()
+        )
+
     def _underused(self, now: float) -> bool:
         if self._queue.size:
             return False
@@ -306,13 +330,14 @@
         try:
             while self._queue.size:
                 now = self._clock.monotonic()
-                if self._in_flight >= self._slot_limit(now):
+                if not self._try_start(now):
                     return
                 ticket = self._queue.pop_highest()
                 if (
                     self._policy.enforces_deadlines
                     and self._would_miss_deadline(ticket, now)
                 ):
+                    self.stated_limit.give_back()
                     self._drop(ticket, _deadline_reason(ticket, now))
                 else:
                     self._run(ticket)
@@ -325,7 +350,7 @@
             return
         limit = self._slot_limit(now)
         mean_service_s = self._service_times.mean or _WINDOW_S
-        capacity_per_s = limit / mean_service_s
+        capacity_per_s = self._capacity(limit, mean_service_s)
         target_queue = capacity_per_s * max(
             _TARGET_QUEUE_DELAY_S,
             mean_service_s * _TARGET_QUEUE_DELAY_PER_SERVICE_TIME,
@@ -339,9 +364,11 @@
         is_idle = not queued and not self._threshold.rank
         if is_idle and elapsed_s < _IDLE_WINDOW_S:
             return
-        # Free slots count as a negative backlog, so that the threshold is
-        # lowered while slots are idle.
-        backlog = queued + min(0, self._in_flight - limit)
+        backlog = queued
+        if not self.stated_limit.is_limited:
+            # Free slots count as a negative backlog, so that the threshold is
+            # lowered while slots are idle.
+            backlog += min(0, self._in_flight - limit)
         correction_s = max(
             _BACKLOG_CORRECTION_S,
             mean_service_s * _BACKLOG_CORRECTION_PER_SERVICE_TIME,
--- a/packages/testing/radishtray_testing/gateway_builders.py
+++ b/packages/testing/radishtray_testing/gateway_builders.py
@@ -53,6 +53,8 @@
     not_run="Not-Run",
     signature="Answer-Signature",
     instance="Upstream-Instance",
+    limit="Upstream-Limit",
+    leaving="Upstream-Leaving",
 )
 
 
