Withdraw an upstream that says in an answer that it leaves

What callers saw: requests reached an upstream that had said more than the drain time before that it leaves (DRAIN).

Cause: a node heard of it from heartbeats alone. The statement in an answer is now treated as the upstream's report that it leaves: no further request is sent to this process, whatever heartbeat comes later.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -258,6 +258,7 @@
                 self.settings.repeats.window_s,
             ),
             self._announce_failures,
+            self._on_upstream_leaving,
         )
         return server, upstream
 
@@ -480,6 +481,13 @@
         )
         self.service_changed(self.settings.service)
 
+    def _on_upstream_leaving(self) -> None:
+        announcement = self.upstream.announcement
+        if announcement is not None:
+            self._upstream_reports.accept_leave(
+                announcement.instance, announcement.started_ms
+            )
+
     def _announce_failures(self) -> None:
         self.fleet.announce_failures(self._upstream_server.failures.percent)
 
--- a/packages/node/radishtray_node/tests/test_upstream_statements.py
+++ b/packages/node/radishtray_node/tests/test_upstream_statements.py
@@ -1,7 +1,7 @@
 """Guards against requests that an upstream has said it does not take.
 
-An upstream in need states a request rate in its answers. The requests begin at
-several nodes.
+An upstream in need states a request rate in its answers, and one that leaves
+says so. The requests begin at several nodes.
 """
 
 from typing import Any
@@ -20,6 +20,7 @@
 RATE_PER_S = 10.0
 WINDOW_S = 4.0
 SETTLE_S = 3.0
+DRAIN_S = 2.0
 TABLE = build_route_table(build_route("one", "s", timeout_s=4.0))
 
 
@@ -145,3 +146,22 @@
     upstream.stated = [HEADER_NAMES.limit, limit]
     upstream.send(2)
     assert {result.status for result in upstream.results[:90]} == {200}
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+def test_an_upstream_that_says_it_leaves_gets_no_more_requests(
+    restarts: bool,
+) -> None:
+    upstream = StatingUpstream()
+    upstream.send(1)
+    upstream.stated = [HEADER_NAMES.leaving, "1"]
+    stated_s = upstream.fleet.network.seconds()
+    upstream.send(1)
+    upstream.fleet.report("n")
+    upstream.send(2)
+    if restarts:
+        upstream.fleet.upstreams["n"].is_leaving = True
+        upstream.restart_node()
+        upstream.send(3)
+    assert upstream.arrivals
+    assert max(upstream.arrivals) <= stated_s + DRAIN_S
