Answer the requests that are left at the end of a planned stop

What operators of a similar system saw: in a planned stop, requests that came late in the grace were passed on and cut at its end with no answer (LOST).

It could happen here: at the stop deadline the node closed with unfinished requests, whose callers got a closed connection. Requests are accepted for up to 2.6 s after the signal, and a route may let them run for longer than what is left. The class of fault: two deadlines of which only one ends in an answer.

At the stop deadline, half a second before the end of the grace, the remaining requests now end as at their own deadlines: with 504 if they may have run, and with 503 if not. This is late enough for an upstream that is still at work on a request that was sent before the node stopped accepting.

Test: 4 of 4 cases got no answer before (repeatable and not, sent at the signal and 0.4 s later), and 504 now.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -617,6 +617,7 @@
                     "at_upstream": self._upstream_server.unfinished_calls,
                 },
             )
+            self.entry.end_all()
         self.close()
 
     def close(self) -> None:
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -106,7 +106,7 @@
         # collection.
         self._call = None
         entry = self._entry
-        entry.active -= 1
+        entry.exchanges.discard(self)
         self._end_call(
             has_failed=result.refusal is not None or result.is_server_error
         )
@@ -137,8 +137,13 @@
             else:
                 parent.served_calls += 1
 
+    def end(self) -> None:
+        """Answers the caller now, as at the deadline of the request."""
+        if self._call is not None:
+            self._call.end()
+
     def _on_disconnect(self) -> None:
-        self._entry.active -= 1
+        self._entry.exchanges.discard(self)
         self._end_call(has_failed=True)
         self._entry.log.log_caller_left(self._request_id, self._route.name)
         if self._call is not None:
@@ -156,7 +161,7 @@
         chains: Requests that the upstream is running, by request id.
         log: Log of refusals, failures and disconnected callers.
         timer: Records the time from a request's arrival to its answer.
-        active: Number of requests that have not been answered.
+        exchanges: Requests that have not been answered.
     """
 
     __slots__ = (
@@ -167,10 +172,10 @@
         "_service",
         "_split_round_robins",
         "_table",
-        "active",
         "arrival_budget",
         "chains",
         "crash_blocklist",
+        "exchanges",
         "log",
         "rejections",
         "router",
@@ -207,7 +212,7 @@
         self.chains = chains
         self.log = log
         self.timer = router.metrics.create_stage_timer("entry")
-        self.active = 0
+        self.exchanges: set[_Exchange] = set()
         self._header_names = header_names
         self._headers_set_by_nodes = header_names.set_by_nodes
         self._service = service
@@ -221,6 +226,16 @@
         """Name of the header that carries a request's id."""
         return self._header_names.request_id
 
+    @property
+    def active(self) -> int:
+        """Number of requests that have not been answered."""
+        return len(self.exchanges)
+
+    def end_all(self) -> None:
+        """Answers all requests now, as at their deadlines."""
+        for exchange in list(self.exchanges):
+            exchange.end()
+
     @property
     def version(self) -> int:
         """Version of the configuration in force; 0 before the first."""
@@ -291,12 +306,12 @@
         request_id = http.header(self._header_names.request_id.encode()) or b""
         caller_timeout_s = self._caller_timeout_s(http, route)
         service = self._split_round_robins[route.name].next_service()
-        self.active += 1
         self._count_request(route.name)
         parent = self.chains.find_parent(request_id, route.name)
         exchange = _Exchange(
             self, http, route, request_id, caller_timeout_s, received_s, parent
         )
+        self.exchanges.add(exchange)
         method = http.method.decode("latin-1")
         request = RoutedRequest(
             request_id,
--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -407,6 +407,11 @@
             reason = RefusalReason.NODE_LOST
         self._finish(CallResult.refused(reason))
 
+    def end(self) -> None:
+        """Finishes the call as at its deadline, unless it is finished."""
+        if not self._is_done:
+            self._on_deadline()
+
     def _on_deadline(self) -> None:
         """Finishes the call and cancels the attempt in flight."""
         attempt = self._attempt
--- a/packages/node/radishtray_node/tests/test_reported_faults.py
+++ b/packages/node/radishtray_node/tests/test_reported_faults.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from radishtray_protocol import RouteTable
 from radishtray_testing.gateway_builders import (
     HEADER_NAMES,
     GatewayFleet,
@@ -24,8 +25,15 @@
 ID = HEADER_NAMES.request_id
 
 
-def build_fleet(nodes: int = 2) -> GatewayFleet:
-    fleet = GatewayFleet(TABLE)
+# Requests may last longer than the grace period of a planned stop.
+LONG_TABLE = build_route_table(
+    build_route("safe", "s", timeout_s=20.0),
+    build_route("once", "s", timeout_s=20.0, is_repeatable=False),
+)
+
+
+def build_fleet(nodes: int = 2, table: RouteTable = TABLE) -> GatewayFleet:
+    fleet = GatewayFleet(table)
     fleet.add("e", "x")
     for number in range(nodes):
         fleet.add(f"n{number}", "s", slots=64)
@@ -160,6 +168,23 @@
     assert [result.status for result in results] == [200] * len(results)
 
 
+@pytest.mark.parametrize("sent_after_s", [0.0, 0.4])
+@pytest.mark.parametrize("path", ["/once/", "/safe/"])
+def test_a_planned_stop_answers_requests_that_outlast_the_grace(
+    path: str, sent_after_s: float
+) -> None:
+    fleet = build_fleet(1, LONG_TABLE)
+    # The upstream never answers, and the node may wait for it for 30 s.
+    fleet.upstreams["n0"].on_run = lambda http: None
+    fleet.gateways["e"].drain()
+    fleet.run(sent_after_s)
+    result = fleet.send("e", path, "r", deadline_ms=30_000)
+    fleet.run(10)
+    assert fleet.upstreams["n0"].runs
+    assert (result.failure, result.status) == (None, 504)
+    assert result.ended_s is not None
+
+
 def test_a_call_under_way_to_a_node_that_drains_is_not_lost() -> None:
     fleet = build_fleet(2)
 
