Keep a stated request rate through answers that can't be read

What callers would see: more requests than the upstream takes (LIMIT), after one faulty answer.

Cause: a limit that is no number, and an answer without the upstream's signature, were taken for answers that state no limit, which ends it. Both now change nothing. A request that a limited upstream rejected is no longer sent to it again: it would take the place of another one.

Test: the 5 cases of a limit that is no number failed before. That of the signature did not, as the next answer states the limit again; it guards the rule.

--- a/packages/node/radishtray_node/_forwarding.py
+++ b/packages/node/radishtray_node/_forwarding.py
@@ -40,16 +40,22 @@
 
     Attributes:
         limit_per_s: Requests per second that the upstream takes, or None.
+        is_limit_readable: Whether the limit, if one is stated, is a number.
         is_leaving: Whether the upstream is leaving.
     """
 
-    __slots__ = ("is_leaving", "limit_per_s")
+    __slots__ = ("is_leaving", "is_limit_readable", "limit_per_s")
 
     def __init__(
-        self, limit_per_s: float | None = None, *, is_leaving: bool = False
+        self,
+        limit_per_s: float | None = None,
+        *,
+        is_limit_readable: bool = True,
+        is_leaving: bool = False,
     ) -> None:
         """Stores the statements."""
         self.limit_per_s = limit_per_s
+        self.is_limit_readable = is_limit_readable
         self.is_leaving = is_leaving
 
 
@@ -313,12 +319,15 @@
         is_leaving = response.header(names.leaving) is not None
         if limit is None and not is_leaving:
             return _NO_STATEMENTS
-        return UpstreamStatements(_parse_limit(limit), is_leaving=is_leaving)
+        limit_per_s = None if limit is None else _parse_limit(limit)
+        return UpstreamStatements(
+            limit_per_s,
+            is_limit_readable=limit is None or limit_per_s is not None,
+            is_leaving=is_leaving,
+        )
 
 
-def _parse_limit(text: str | None) -> float | None:
-    if text is None:
-        return None
+def _parse_limit(text: str) -> float | None:
     try:
         limit_per_s = float(text)
     except ValueError:
--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -286,8 +286,8 @@
             or self._is_cancelled
             or self._is_answered
             or self.request.deadline_s - now_s < _MIN_REPEAT_TIME_S
+            or self._server.upstream.admission.stated_limit.is_limited
             or not repeats.try_take(self.request.rank)
-            or not self._server.upstream.admission.stated_limit.try_take()
         ):
             return False
         self._server.metrics.retries.labels(
@@ -303,9 +303,10 @@
         fault = self._server.forwarding.rejection_reason(response)
         is_rejected = fault is RefusalReason.UPSTREAM_BUSY
         assert self._process is not None
-        self._server.record_statements(
-            self._process, response, self._phase_started_s
-        )
+        if fault is None or is_rejected:
+            self._server.record_statements(
+                self._process, response, self._phase_started_s
+            )
         if self._server.rejection_repeats is not None:
             self._server.rejection_repeats.count_outcome(
                 is_rejected=is_rejected
--- a/packages/node/radishtray_node/_upstream_reports.py
+++ b/packages/node/radishtray_node/_upstream_reports.py
@@ -160,9 +160,10 @@
                 on_result(False)
                 return
             statements = self._forwarding.read_statements(response)
-            self._upstream.admission.stated_limit.record_answer(
-                statements.limit_per_s, sent_at_s
-            )
+            if statements.is_limit_readable:
+                self._upstream.admission.stated_limit.record_answer(
+                    statements.limit_per_s, sent_at_s
+                )
             on_result(response.status == _OK and not statements.is_leaving)
 
         def handle_failure(_failure: RequestFailure) -> None:
--- a/packages/node/radishtray_node/_upstream_server.py
+++ b/packages/node/radishtray_node/_upstream_server.py
@@ -234,9 +234,10 @@
             sent_at_s: Monotonic time at which the request was sent.
         """
         statements = self.forwarding.read_statements(response)
-        self.upstream.record_stated_limit(
-            process, statements.limit_per_s, sent_at_s
-        )
+        if statements.is_limit_readable:
+            self.upstream.record_stated_limit(
+                process, statements.limit_per_s, sent_at_s
+            )
         if statements.is_leaving and process is self.upstream.process:
             self.on_leaving()
 
--- a/packages/node/radishtray_node/tests/test_upstream_statements.py
+++ b/packages/node/radishtray_node/tests/test_upstream_statements.py
@@ -32,6 +32,7 @@
         stated: Headers of the answers of `n`'s upstream.
         arrivals: Times at which that upstream got a request.
         rejects: Whether it rejects all requests.
+        is_garbled: Whether every second answer lacks all headers but the id.
     """
 
     def __init__(self) -> None:
@@ -41,6 +42,7 @@
         self.arrivals: list[float] = []
         self.results: list[Any] = []
         self.rejects = False
+        self.is_garbled = False
         self.fleet.add("e", "x")
         for name in ("n", "m"):
             self.fleet.add(name, "s", slots=64)
@@ -58,6 +60,9 @@
         upstream.on_run = run
 
     def _respond(self, http: HttpRequest) -> None:
+        if self.is_garbled and len(self.arrivals) % 2:
+            http.respond(200, echoed_id(http), b"garbage")
+            return
         if self.rejects:
             headers = [HEADER_NAMES.not_run, "1"]
             http.respond(503, [*echoed_id(http), *headers, *self.stated], b"")
@@ -140,12 +145,33 @@
     assert upstream.most_in_a_window(first_s) > 1.5 * RATE_PER_S * WINDOW_S
 
 
+@pytest.mark.parametrize("earlier", [False, True])
 @pytest.mark.parametrize("limit", ["nan", "-1", "inf", "many", ""])
-def test_a_limit_that_is_no_number_is_ignored(limit: str) -> None:
+def test_a_limit_that_is_no_number_changes_nothing(
+    limit: str, earlier: bool
+) -> None:
     upstream = StatingUpstream()
+    if earlier:
+        upstream.stated = [HEADER_NAMES.limit, str(RATE_PER_S)]
+        upstream.send(2)
     upstream.stated = [HEADER_NAMES.limit, limit]
-    upstream.send(2)
+    first_s = upstream.fleet.network.seconds()
+    upstream.send(6)
     assert {result.status for result in upstream.results[:90]} == {200}
+    allowed = 1.5 * RATE_PER_S * WINDOW_S + 5
+    is_limited = upstream.most_in_a_window(first_s) <= allowed
+    assert is_limited is earlier
+
+
+def test_an_answer_without_a_signature_does_not_end_the_limit() -> None:
+    upstream = StatingUpstream()
+    upstream.stated = [HEADER_NAMES.limit, str(RATE_PER_S)]
+    upstream.send(2)
+    upstream.is_garbled = True
+    first_s = upstream.fleet.network.seconds()
+    upstream.send(6)
+    allowed = 1.5 * RATE_PER_S * WINDOW_S + 5
+    assert 0 < upstream.most_in_a_window(first_s) <= allowed
 
 
 @pytest.mark.parametrize("restarts", [False, True])
