Drop expired crashes before a later one is counted

An expired entry that had not been purged yet was renewed, with its old crashes, by the next one. Found by reading; gossip purges entries twice a second, so callers can't have seen it. The test failed before.

The test of what other nodes learn could fail by chance (once: 8 entries where more than 8 are expected): too few requests ran beside the crashing one.

--- a/packages/node/radishtray_node/tests/test_crashing_requests.py
+++ b/packages/node/radishtray_node/tests/test_crashing_requests.py
@@ -140,7 +140,7 @@
 
 def test_the_other_nodes_of_the_service_learn_of_a_crash_at_once() -> None:
     callers = CrashingRequests(1, ("s",))
-    for number in range(40):
+    for number in range(64):
         callers.send(f"/one/{number}")
     callers.send("/one/crashing")
     callers.fleet.run(0.15)
--- a/packages/state/radishtray_state/_crash_tally.py
+++ b/packages/state/radishtray_state/_crash_tally.py
@@ -190,6 +190,7 @@
         self, fingerprint: int, crash_ids: Iterable[int], ttl_s: float
     ) -> None:
         """Adds crashes that were not cleared, up to the block threshold."""
+        self.crashes(fingerprint)  # Drops an expired entry.
         cleared = self._cleared.get(fingerprint)
         known = self._entries.get(fingerprint)
         limit = BLOCK_THRESHOLD - (len(known.crash_ids) if known else 0)
@@ -231,7 +232,6 @@
             if not suspect.crash_ids or ttl_s <= 0:
                 continue
             if suspect.crashes:
-                self.crashes(fingerprint)  # Drops an expired entry.
                 self._add_crashes(fingerprint, suspect.crash_ids, ttl_s)
                 continue
             self._add_cleared(fingerprint, suspect.crash_ids, ttl_s)
--- a/packages/state/radishtray_state/tests/test_crash_tally.py
+++ b/packages/state/radishtray_state/tests/test_crash_tally.py
@@ -136,3 +136,13 @@
     here.merge(there.export())
     there.merge(here.export())
     assert (here.crashes(CRASHING), there.crashes(CRASHING)) == (1, 1)
+
+
+def test_expired_crashes_do_not_count_with_a_later_one() -> None:
+    clock = ManualClock()
+    tally = CrashTally(clock)
+    crash(tally, CRASHING)
+    crash(tally, CRASHING)
+    clock.advance(61)
+    crash(tally, CRASHING)
+    assert tally.crashes(CRASHING) == 1
