Compute the watchers for heartbeats only on nodes that watch

Every node that had read the store once ranked all members of its failure domain four times a second to find that it is no watcher. Only nodes that watch do now. Found by reading; the cost was not measured.

--- a/packages/coordination/radishtray_coordination/_route_configuration.py
+++ b/packages/coordination/radishtray_coordination/_route_configuration.py
@@ -80,7 +80,7 @@
         "_election",
         "_failed_pulls",
         "_heartbeat_task",
-        "_is_connected",
+        "_is_watching",
         "_membership",
         "_object_name",
         "_on_table",
@@ -140,7 +140,7 @@
         self._version: int | None = None
         self._election = WatcherElection(membership)
         self._watch_anyway_at_s: float | None = None
-        self._is_connected = False
+        self._is_watching = False
         self._standby_from_s = 0.0
         self._backoff = Backoff(rng, _FIRST_BACKOFF_S, _MAX_BACKOFF_S)
         self._watch_task = BackgroundTask(reactor, "routes", self._watch_object)
@@ -183,6 +183,7 @@
             elif self._election.is_watcher or self._is_needed_standby():
                 await self._call_store(self._read_or_watch)
             else:
+                self._is_watching = False
                 await sleep(self._reactor, _ROLE_CHECK_INTERVAL_S)
 
     def _is_needed_standby(self) -> bool:
@@ -195,7 +196,7 @@
         """Shows the standbys that this watcher reaches the platform."""
         while True:
             await sleep(self._reactor, _HEARTBEAT_INTERVAL_S)
-            if self._is_connected and self._election.is_watcher:
+            if self._is_watching and self._election.is_watcher:
                 self._send(self._membership.heartbeats(self._election.standbys))
 
     def _is_substitution_due(self) -> bool:
@@ -225,7 +226,7 @@
         found = await call()
         is_lost = found.is_error() and isinstance(found.error, Unreachable)
         self._send(self._membership.update_own_record(platform_lost=is_lost))
-        self._is_connected = not found.is_error()
+        self._is_watching = not found.is_error()
         if found.is_error():
             _LOG.info(
                 "cannot read the route configuration; retrying",
