--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -152,9 +152,7 @@
                 "spec": spec,
                 "status": None,
             }
-            self._history.append(
-                (self._revision, kind, objects[name], False)
-            )
+            self._history.append((self._revision, kind, objects[name], False))
             self._changed.notify_all()
             return self._revision
 
@@ -794,6 +792,8 @@
 ) -> int:
     """Runs a case with or without its disruption; returns the exit code."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # The processes of the case are ended also if the case is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     rig = None
     try:
         rig = Rig(folder, machines)
