--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -41,6 +41,8 @@
 INTERNAL_PORTS = (20, 35)
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# Lets an upstream read a large body without many pauses.
+_MAX_READ_BYTES = 2**23
 
 
 class CannotRun(Exception):
@@ -271,7 +273,7 @@
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(
-            self._serve, self._host, self._port
+            self._serve, self._host, self._port, limit=_MAX_READ_BYTES
         )
         self._heartbeats = asyncio.create_task(self._send_heartbeats())
 
