--- a/packages/node/radishtray_node/tests/test_crashing_requests.py
+++ b/packages/node/radishtray_node/tests/test_crashing_requests.py
@@ -18,6 +18,7 @@
 
 UPSTREAMS = ("a", "b", "c", "d")
 SLOTS = 24
+HEARTBEAT_S = 1.5
 # From the third crash on, the time until no node may send the request, and
 # how often it may reach an upstream later.
 SETTLE_S = 3.0
@@ -33,8 +34,22 @@
         crashes: Times at which an upstream has ended under the request.
     """
 
-    def __init__(self, seed: int, services: tuple[str, ...]) -> None:
-        """Starts the gateways, whose upstreams run all but the request."""
+    def __init__(
+        self,
+        seed: int,
+        services: tuple[str, ...],
+        *,
+        ends_node: bool = False,
+        others_per_step: int = 4,
+    ) -> None:
+        """Starts the gateways, whose upstreams run all but the request.
+
+        Args:
+            seed: Seed of the choice of nodes and of the times of runs.
+            services: Services of the upstreams, in turn.
+            ends_node: Whether a crash ends the node beside the upstream too.
+            others_per_step: Other requests that are sent every 0.05 s.
+        """
         routes = [
             build_route("one", services[0], timeout_s=6.0, is_repeatable=False)
         ]
@@ -42,8 +57,11 @@
         self.runs: list[float] = []
         self.crashes: list[float] = []
         self.services = services
+        self._ends_node = ends_node
+        self._others_per_step = others_per_step
         self._rng = random.Random(seed)
         self._sent = 0
+        self._down: set[str] = set()
         for index, name in enumerate(UPSTREAMS):
             self.fleet.add(name, services[index % len(services)], slots=SLOTS)
             self._serve(name)
@@ -65,10 +83,16 @@
 
     def _crash(self, name: str) -> None:
         self.crashes.append(self.fleet.network.seconds())
+        self._down.add(name)
         self.fleet.kill_upstream(name)
+        if self._ends_node:
+            self.fleet.kill(name)
         self.fleet.network.callLater(1.5, self._restart, name)
 
     def _restart(self, name: str) -> None:
+        self._down.discard(name)
+        if self._ends_node:
+            self.fleet.restart(name)
         self.fleet.start_upstream(name)
         self._serve(name)
 
@@ -87,7 +111,11 @@
         """Sends copies of the request at once, and others all the time."""
         steps = round(seconds / 0.05)
         for step in range(steps):
-            for _ in range(4):
+            if step % round(HEARTBEAT_S / 0.05) == 0:
+                for name in UPSTREAMS:
+                    if name not in self._down:
+                        self.fleet.report(name)
+            for _ in range(self._others_per_step):
                 self.send(f"/one/{self._sent}")
             if step % round(interval_s / 0.05) == 0:
                 for _ in range(copies):
@@ -138,6 +166,26 @@
     assert callers.late_runs <= MAX_LATE_RUNS
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("copies, interval_s", [(1, 0.5), (2, 4.0)])
+def test_a_request_whose_crashes_end_the_nodes_too_is_stopped(
+    copies: int, interval_s: float, seed: int
+) -> None:
+    callers = CrashingRequests(seed, ("s",), ends_node=True)
+    callers.run(25, copies=copies, interval_s=interval_s)
+    assert len(callers.crashes) >= 3
+    assert callers.late_runs <= MAX_LATE_RUNS
+
+
+def test_a_crashing_request_that_comes_again_for_minutes_stays_stopped() -> (
+    None
+):
+    callers = CrashingRequests(1, ("s",), others_per_step=0)
+    callers.run(200, copies=2, interval_s=4.0)
+    assert len(callers.crashes) >= 3
+    assert callers.late_runs <= MAX_LATE_RUNS
+
+
 def test_the_other_nodes_of_the_service_learn_of_a_crash_at_once() -> None:
     callers = CrashingRequests(1, ("s",))
     for number in range(64):
--- a/packages/node/radishtray_node/tests/test_gateway.py
+++ b/packages/node/radishtray_node/tests/test_gateway.py
@@ -226,6 +226,77 @@
     assert all_runs(fleet) == ["r1"]
 
 
+def go_silent(fleet: GatewayFleet) -> None:
+    for end in fleet.connections_between("e", "n0")[-1]:
+        end.is_silent = True
+
+
+def go_down(fleet: GatewayFleet) -> None:
+    fleet.connections_between("e", "n0")[-1][0].break_connection()
+
+
+LOST_LINKS = {"silent": go_silent, "reset": go_down}
+
+
+@pytest.mark.parametrize("path", ["/safe/2", "/once/2"])
+@pytest.mark.parametrize("name", LOST_LINKS)
+def test_a_queued_request_is_cancelled_also_if_the_link_is_lost_meanwhile(
+    name: str, path: str
+) -> None:
+    fleet = build_fleet(1, slots=1)
+    waiting: list[HttpRequest] = []
+    fleet.upstreams["n0"].on_run = waiting.append
+    fleet.send("e", "/once/1", "r1", deadline_ms=5000)
+    fleet.run(0.1)
+    second = fleet.send("e", path, "r2", deadline_ms=5000)
+    fleet.run(0.1)
+    LOST_LINKS[name](fleet)
+    assert second.pending is not None
+    second.pending.cancel()
+    fleet.run(1.8)
+    fleet.upstreams["n0"].answer(waiting[0])
+    fleet.run(0.5)
+    assert all_runs(fleet) == ["r1"]
+
+
+def test_a_run_is_aborted_also_if_the_link_is_lost_as_its_caller_leaves() -> (
+    None
+):
+    fleet = build_fleet(1)
+    disconnects: list[bool] = []
+
+    def hold(http: HttpRequest) -> None:
+        http.on_disconnect = lambda: disconnects.append(True)
+
+    fleet.upstreams["n0"].on_run = hold
+    result = fleet.send("e", "/safe/", "r1", deadline_ms=5000)
+    fleet.run(0.1)
+    go_silent(fleet)
+    assert result.pending is not None
+    result.pending.cancel()
+    fleet.run(1.8)
+    assert disconnects == [True]
+
+
+@pytest.mark.parametrize("path", ["/safe/", "/once/"])
+def test_a_request_that_arrives_with_its_cancellation_does_not_run(
+    path: str,
+) -> None:
+    fleet = build_fleet(1)
+    fleet.send("e", path, "r1")
+    fleet.run(0.3)
+    opening, _ = fleet.connections_between("e", "n0")[-1]
+    opening.holds_back = True
+    second = fleet.send("e", path, "r2", deadline_ms=5000)
+    fleet.run(0.1)
+    assert second.pending is not None
+    second.pending.cancel()
+    fleet.run(0.5)
+    opening.release()
+    fleet.run(1)
+    assert all_runs(fleet) == ["r1"]
+
+
 def test_a_leaving_upstream_receives_no_more_requests() -> None:
     """Guards against running queued requests at an upstream that is leaving.
 
