Send a cancellation again after the link to the receiver was lost

Callers saw requests run after they had left (GONE). A cancellation is one frame. If the link is down when the caller leaves, or has gone silent without being known to be, the frame is lost. The next connection asks about the attempt, hears that it is running, which includes waiting for a slot, and goes on waiting for it: the call runs, up to its deadline, for a caller that has left.

The attempt now remembers that it was cancelled, and the reply that it is running is followed by another cancellation. Class of fault: a message that changes state is sent once over a connection that can be lost, and the repair of the connection does not include it. The calls of the own interface use the same link and are mended with it. Crash reports are sent once too, but gossip repeats them.

Ruled out: the receiver ignores no cancellation that arrives (existing tests), and an attempt that waits for a connection ends at once.

--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -172,12 +172,21 @@
             self._connect()
 
     def cancel(self, attempt: SentAttempt) -> None:
-        """Asks the receiver to cancel an attempt; its answer settles it."""
+        """Asks the receiver to cancel an attempt; its answer settles it.
+
+        The receiver is asked again if the connection is lost and the attempt
+        turns out to be running.
+        """
+        attempt.is_cancelled = True
         if not attempt.is_handed_over:
             self._settle_failed(attempt, SendFailure.NOT_RUN)
         elif self._connection is not None and self._connection.is_ready:
-            cancel = wire.Cancel(attempt_id=attempt.call.attempt_id)
-            self._connection.send(wire.Frame(cancel=cancel))
+            self._send_cancel(self._connection, attempt)
+
+    @staticmethod
+    def _send_cancel(connection: NodeConnection, attempt: SentAttempt) -> None:
+        cancel = wire.Cancel(attempt_id=attempt.call.attempt_id)
+        connection.send(wire.Frame(cancel=cancel))
 
     def check_liveness(self) -> None:
         """Pings the peer, or aborts the connection if a pong is overdue.
@@ -375,6 +384,10 @@
                 self._settle_failed(item.context, SendFailure.NOT_RUN)
             else:
                 self._settle_failed(item.context, SendFailure.UNKNOWN)
+        for state in states.states:
+            attempt = self._outstanding.find(state.attempt_id)
+            if attempt is not None and attempt.is_cancelled:
+                self._send_cancel(connection, attempt)
 
     def pong_received(self, connection: NodeConnection, sequence: int) -> None:
         """Records that the peer still receives what this node sends."""
--- a/packages/node/radishtray_node/_sent_attempt.py
+++ b/packages/node/radishtray_node/_sent_attempt.py
@@ -25,11 +25,13 @@
         on_answer: Called once with the receiver's answer.
         on_failure: Called once if there is no answer.
         is_handed_over: Whether the call was handed to a connection.
+        is_cancelled: Whether the sender no longer needs the result.
         is_settled: Whether a callback was called.
     """
 
     __slots__ = (
         "call",
+        "is_cancelled",
         "is_handed_over",
         "is_settled",
         "on_answer",
@@ -47,4 +49,5 @@
         self.on_answer = on_answer
         self.on_failure = on_failure
         self.is_handed_over = False
+        self.is_cancelled = False
         self.is_settled = False
--- a/packages/state/radishtray_state/_outstanding_attempts.py
+++ b/packages/state/radishtray_state/_outstanding_attempts.py
@@ -320,6 +320,11 @@
             )
         return settled
 
+    def find(self, attempt_id: int) -> ContextT | None:
+        """Returns the context of an attempt, or None if it is settled."""
+        context = self._current.get(attempt_id)
+        return self._earlier.get(attempt_id) if context is None else context
+
     def give_up(self, attempt_id: int) -> ContextT | None:
         """Stops waiting for an attempt; its outcome is then unknown.
 
