Start the calls of one read after its cancellations

Callers saw requests run after they had left (GONE). When a link has stood still, a call and its cancellation arrive in one read. The receiver handled one frame after the other: with a free slot the call was sent to the upstream at once, and the cancellation, a few microseconds later, came too late; a request that may not be repeated then ran to its end.

A node now starts the calls of a read once all frames of it are handled, and answers those that were cancelled by then as not run. Nothing is delayed by a timer. Class of fault: input is acted on piece by piece although what revokes it has arrived already.

Ruled out: the cancellation of a call that waits for a slot (existing test), and a call that arrives after its cancellation (the attempt table rejects it).

Held data of the memory network now arrives as one read, as from a socket.

--- a/packages/node/radishtray_node/_node_server.py
+++ b/packages/node/radishtray_node/_node_server.py
@@ -27,6 +27,8 @@
 _AttemptKey = tuple[str, int, int]
 """Node id and incarnation of the sender, and its attempt id."""
 
+_StartCall = Callable[[], None]
+
 ControlHandler = Callable[[NodeConnection, wire.Frame], None]
 
 
@@ -62,6 +64,7 @@
     """
 
     __slots__ = (
+        "_arrived_calls",
         "_attempt_table",
         "_connections_by_token",
         "_control_handler",
@@ -92,6 +95,9 @@
         self._control_handler = control_handler
         self._attempt_table: AttemptTable[wire.Answer] = AttemptTable(clock)
         self._unanswered_calls: dict[_AttemptKey, IncomingCall] = {}
+        # Calls of the current read, which start when it has been handled: the
+        # cancellation of a call that was held up may arrive together with it.
+        self._arrived_calls: dict[_AttemptKey, _StartCall] = {}
         self._peers: dict[NodeConnection, _Peer] = {}
         self._ticks = 0
         self._connections_by_token: dict[
@@ -160,9 +166,18 @@
             self._unanswered_calls.pop(key, None)
             self._send_answer(token, attempt_id, result, retries, call.kind)
 
-        incoming = self._server.serve(call, done)
-        if incoming.is_unanswered:
-            self._unanswered_calls[key] = incoming
+        def start() -> None:
+            incoming = self._server.serve(call, done)
+            if incoming.is_unanswered:
+                self._unanswered_calls[key] = incoming
+
+        self._arrived_calls[key] = start
+
+    def read_finished(self, connection: NodeConnection) -> None:
+        """Starts the calls that have arrived and were not cancelled."""
+        arrived, self._arrived_calls = self._arrived_calls, {}
+        for start in arrived.values():
+            start()
 
     def _send_answer(
         self,
@@ -183,6 +198,10 @@
 
     def _handle_cancel(self, peer: _Peer, attempt_id: int) -> None:
         if self._attempt_table.cancel(peer.token, attempt_id):
+            if self._arrived_calls.pop(peer.attempt_key(attempt_id), None):
+                result = CallResult.refused(RefusalReason.CANCELLED_QUEUED)
+                self._send_answer(peer.token, attempt_id, result, 0, "")
+                return
             call = self._unanswered_calls.get(peer.attempt_key(attempt_id))
             if call is not None:
                 call.cancel()
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -389,6 +389,9 @@
             if attempt is not None and attempt.is_cancelled:
                 self._send_cancel(connection, attempt)
 
+    def read_finished(self, connection: NodeConnection) -> None:
+        """Does nothing: each frame is handled as it arrives."""
+
     def pong_received(self, connection: NodeConnection, sequence: int) -> None:
         """Records that the peer still receives what this node sends."""
         if connection is self._connection and sequence == self._ping_sequence:
--- a/packages/testing/radishtray_testing/memory_network.py
+++ b/packages/testing/radishtray_testing/memory_network.py
@@ -35,6 +35,23 @@
 _KEEP_ALIVE_STEP_S = 0.25
 
 
+class _HeldData:
+    """Data that arrives at a transport as one read when it is called.
+
+    Attributes:
+        data: The bytes.
+    """
+
+    __slots__ = ("_receiver", "data")
+
+    def __init__(self, receiver: "MemoryTransport", data: bytes) -> None:
+        self._receiver = receiver
+        self.data = data
+
+    def __call__(self) -> None:
+        self._receiver.receive(self.data)
+
+
 @implementer(ITCPTransport, IPushProducer)
 class MemoryTransport:
     """One end of a TCP connection, with the write order of Twisted's TCP.
@@ -134,8 +151,14 @@
 
     def _send(self, data: bytes) -> None:
         peer = self._peer
-        if self.connected and peer is not None:
+        if not self.connected or peer is None:
+            return
+        if not self.holds_back or self.is_silent:
             self._carry(lambda: peer.receive(data))
+        elif self._held and isinstance(self._held[-1], _HeldData):
+            self._held[-1].data += data
+        else:
+            self._held.append(_HeldData(peer, data))
 
     def _carry(self, arrive: Callable[[], None]) -> None:
         """Schedules an arrival at the peer, in order, subject to the faults."""
@@ -151,7 +174,7 @@
         )
 
     def release(self) -> None:
-        """Sends everything that was held and stops holding."""
+        """Sends what was held, its data as one read, and stops holding."""
         self.holds_back = False
         held, self._held = self._held, []
         for arrive in held:
--- a/packages/testing/radishtray_testing/node_slopes.py
+++ b/packages/testing/radishtray_testing/node_slopes.py
@@ -165,6 +165,9 @@
     def connection_lost(self, connection: NodeConnection) -> None:
         """Does nothing; connections stay open until the process ends."""
 
+    def read_finished(self, connection: NodeConnection) -> None:
+        """Does nothing."""
+
     def connection_failed(self, connection: NodeConnection) -> None:
         """Stops the measurement.
 
--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -180,6 +180,7 @@
                 extra={"error": str(error)},
             )
             self._reject(f"frame_{error.reason}")
+        self._events.read_finished(self)
 
     def _handle_frame(self, frame: wire.Frame) -> None:
         if not self._is_closed:
@@ -275,6 +276,10 @@
         """A frame other than ping and pong arrived from a verified peer."""
         ...
 
+    def read_finished(self, connection: NodeConnection) -> None:
+        """All frames that arrived together were handled."""
+        ...
+
     def pong_received(self, connection: NodeConnection, sequence: int) -> None:
         """The peer answered a ping and so received all frames before it."""
         ...
@@ -419,6 +424,10 @@
         """Forwards the event."""
         self._events.pong_received(connection, sequence)
 
+    def read_finished(self, connection: NodeConnection) -> None:
+        """Forwards the event."""
+        self._events.read_finished(connection)
+
     def connection_rejected(self, reason: str) -> None:
         """Forwards the event."""
         self._events.connection_rejected(reason)
