Count a crash that ends the node beside the upstream too

A request that crashes its upstream was sent on without end if its crash also ended the node beside the upstream (BUDGET): only that node counts crashes, in its memory.

The nodes that sent the requests now count. A link notices that the process at the other end has ended by a refused connection, or by the next process's incarnation; the contents of its unanswered calls then get one crash, with an id that all senders derive from the node and its incarnation, and the nodes of the service are told at once. If only the node has ended, its next process announces the same upstream (new field upstream_digest of a member), and the crash is retracted everywhere. Contents with a counted crash are sent to another node than the entry node where there is one, so that one who can count is left.

A refused connection now also ends the attempts there as unknown at once; it took five failed connections, about a second.

Class of fault: the only witness of a failure shares its fate. Elsewhere: calls of the own interface (CrashSuspects) have the same cause; there a sender can't block, so this is left open.

Ruled out: counts lost between the living nodes (the entries of a crash reach the nodes of the service within a frame; existing test).

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -37,6 +37,7 @@
     CrashSuspects,
     KeyOwner,
     KeyRouter,
+    MemberRecord,
     SlotOwner,
     SystemClock,
     UpstreamSelector,
@@ -324,6 +325,9 @@
             self._replaced_owners[node_id] = replaced_owner
             self.send_control(node_id, wire.Frame(slot_table_pull=pull))
 
+    def upstream_announced(self, member: MemberRecord) -> None:
+        """Does nothing, since crashes are not counted by process."""
+
     def _peer_verified(self, node_id: str, incarnation: int) -> None:
         """Ends what depends on earlier processes of a node."""
         self._slot_service.peer_verified(node_id, incarnation)
--- a/packages/node/radishtray_node/_call_router.py
+++ b/packages/node/radishtray_node/_call_router.py
@@ -58,6 +58,7 @@
     """Sends outgoing calls to the nodes beside the called upstreams.
 
     Attributes:
+        node_id: Id of this node.
         clock: Time source.
         timers: Timers of deadlines and retries.
         selector: Chooses the node for an attempt.
@@ -76,7 +77,6 @@
         "_link_factory",
         "_links",
         "_local_calls",
-        "_node_id",
         "_rng",
         "_server",
         "_slot_table_waits",
@@ -87,6 +87,7 @@
         "generation",
         "key_router",
         "metrics",
+        "node_id",
         "retry_policy",
         "selector",
         "timers",
@@ -131,7 +132,7 @@
             suspect_nodes: Returns the live nodes of a service, including those
                 whose upstream is down; by default the candidates.
         """
-        self._node_id = node_id
+        self.node_id = node_id
         self.clock = clock
         self.timers = timers
         self.selector = selector
@@ -243,7 +244,7 @@
 
     def send_attempt(self, node_id: str, attempt: SentAttempt) -> None:
         """Sends an attempt to another node, or serves it at this one."""
-        if node_id == self._node_id:
+        if node_id == self.node_id:
             self._serve_locally(attempt)
             return
         link = self._get_or_open_link(node_id)
@@ -271,7 +272,7 @@
 
     def cancel_attempt(self, node_id: str, attempt: SentAttempt) -> None:
         """Asks the node that received an attempt to cancel it."""
-        if node_id == self._node_id:
+        if node_id == self.node_id:
             incoming = self._local_calls.get(attempt)
             if incoming is not None:
                 incoming.cancel()
@@ -360,7 +361,7 @@
 
     def _get_or_open_link(self, node_id: str) -> PeerLink | None:
         link = self._links.get(node_id)
-        if link is None and node_id != self._node_id:
+        if link is None and node_id != self.node_id:
             link = self._link_factory(node_id)
             if link is not None:
                 self._links[node_id] = link
--- a/packages/node/radishtray_node/_fleet.py
+++ b/packages/node/radishtray_node/_fleet.py
@@ -82,6 +82,10 @@
         """
         ...
 
+    def upstream_announced(self, member: MemberRecord) -> None:
+        """Called when a node's process has announced its upstream."""
+        ...
+
     def send_control(self, node_id: str, frame: wire.Frame) -> bool:
         """Sends a control frame; False if the node has no address."""
         ...
@@ -303,9 +307,24 @@
 
     # This node's own entry.
 
-    def announce(self, service: str, slots: int, serving: bool) -> None:
-        """Announces the state of this node's upstream to the other nodes."""
+    def announce(
+        self,
+        service: str,
+        slots: int,
+        serving: bool,
+        upstream_digest: int = 0,
+    ) -> None:
+        """Announces the state of this node's upstream to the other nodes.
+
+        Args:
+            service: Service of the upstream; empty if it is not known.
+            slots: Number of requests that it runs concurrently.
+            serving: Whether it accepts requests.
+            upstream_digest: Names its process; 0 to leave the last one.
+        """
         changes = {"slots": slots, "serving": serving}
+        if upstream_digest:
+            changes["upstream_digest"] = upstream_digest
         if service:
             changes["service_name"] = service  # type: ignore[assignment]
         self._socket.send(self.membership.update_own_record(**changes))  # type: ignore[arg-type]
@@ -392,6 +411,12 @@
             self._events.node_moved(after.node_id)
         elif change.died_or_left or is_replaced:
             self._events.node_gone(after.node_id)
+        if after.upstream_digest and (
+            before is None
+            or is_replaced
+            or before.upstream_digest != after.upstream_digest
+        ):
+            self._events.upstream_announced(after)
         services = {after.service_name}
         if before is not None:
             services.add(before.service_name)
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -42,8 +42,10 @@
     Clock,
     CrashSuspect,
     CrashTally,
+    EndedProcesses,
     KeyOwner,
     KeyRouter,
+    MemberRecord,
     Membership,
     RejectionRepeats,
     ReportVerdict,
@@ -106,6 +108,7 @@
     __slots__ = (
         "_arrival_budget",
         "_decode_table",
+        "_ended_processes",
         "_fleet",
         "_fleet_size",
         "_is_draining",
@@ -172,6 +175,7 @@
         self._is_draining = False
         self._stop_deadline_s = 0.0
         self._fleet: Fleet | None = None
+        self._ended_processes = EndedProcesses()
         self._fleet_size = HeldMaximum(clock, _FLEET_SIZE_HOLD_S)
         self._service_size = HeldMaximum(clock, _FLEET_SIZE_HOLD_S)
         self._upstream_server, self.upstream = self._build_upstream_server()
@@ -413,6 +417,18 @@
     ) -> None:
         """Does nothing, since no state is tied to a process."""
 
+    def upstream_announced(self, member: MemberRecord) -> None:
+        """Retracts the crashes of earlier processes that it has survived."""
+        for crash_id in self._ended_processes.announce(
+            member.node_id, member.incarnation, member.upstream_digest
+        ):
+            changed = self.crash_tally.retract(crash_id)
+            _LOG.info(
+                "upstream has survived the end of its node; retracting a crash",
+                extra={"peer": member.node_id, "contents": len(changed)},
+            )
+            self._send_crashes(changed, member.service_name)
+
     def send_control(self, node_id: str, frame: wire.Frame) -> bool:
         """Sends a control frame; False if the node has no address."""
         return self._router.send_control(node_id, frame)
@@ -453,7 +469,31 @@
             lambda reason: self.metrics.rejected_connections.labels(
                 reason
             ).inc(),
+            lambda calls, incarnation: self._on_process_ended(
+                node_id, calls, incarnation
+            ),
+        )
+
+    def _on_process_ended(
+        self, node_id: str, calls: list[wire.Call], incarnation: int
+    ) -> None:
+        """Counts a crash against the calls of a node's process that has ended.
+
+        The crash of an upstream may end the node beside it too, so that only
+        the senders can count it.
+        """
+        crash_id = self._ended_processes.record(node_id, incarnation)
+        if crash_id is None:
+            return
+        _LOG.warning(
+            "node has ended; counting a crash against the requests that were "
+            "running there",
+            extra={"peer": node_id, "requests": len(calls)},
+        )
+        changed = self.crash_tally.record_process_end(
+            (call.context.fingerprint for call in calls), crash_id
         )
+        self._send_crashes(changed, calls[0].service_name)
 
     # The upstream.
 
@@ -477,7 +517,10 @@
         announcement = self.upstream.announcement
         slots = announcement.slots if announcement else 0
         self.fleet.announce(
-            self.settings.service, slots, announcement is not None
+            self.settings.service,
+            slots,
+            announcement is not None,
+            announcement.process_digest if announcement else 0,
         )
         self.service_changed(self.settings.service)
 
@@ -497,14 +540,15 @@
             "running"
         )
         changed = self._upstream_server.handle_upstream_crash()
-        if changed:
-            self._send_crashes(changed)
+        self._send_crashes(changed, self.settings.service)
 
-    def _send_crashes(self, changed: list[CrashSuspect]) -> None:
-        """Tells the other nodes of the service, where the requests may go next.
+    def _send_crashes(self, changed: list[CrashSuspect], service: str) -> None:
+        """Tells the nodes of a service, where the requests may go next.
 
         Gossip takes seconds to carry the entries of one crash.
         """
+        if not changed:
+            return
         frame = wire.Frame(
             crash_suspects=wire.CrashSuspects(
                 suspects=[
@@ -518,7 +562,7 @@
                 ]
             )
         )
-        for node_id in self.fleet.live_nodes(self.settings.service):
+        for node_id in self.fleet.live_nodes(service):
             if node_id != self.settings.node_id:
                 self.send_control(node_id, frame)
 
--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -16,6 +16,7 @@
     CrashSuspects,
     CrashTally,
     RefusalReason,
+    digest_63_bits,
 )
 from radishtray_transport import HttpClient, ResponseFault, ResponseRules
 
@@ -88,6 +89,11 @@
         self.instance = instance
         self.started_ms = started_ms
 
+    @property
+    def process_digest(self) -> int:
+        """Names the process; another one after its restart."""
+        return digest_63_bits(f"{self.started_ms} {self.instance}")
+
 
 def parse_announcement(body: bytes) -> Result[Announcement, str]:
     """Parses the JSON body of `PUT /announce`.
--- a/packages/node/radishtray_node/_node_server.py
+++ b/packages/node/radishtray_node/_node_server.py
@@ -249,7 +249,9 @@
             self._connections_by_token.pop(peer.token, None)
             self._attempt_table.close_connection(peer.token)
 
-    def connection_failed(self, connection: NodeConnection) -> None:
+    def connection_failed(
+        self, connection: NodeConnection, *, is_refused: bool
+    ) -> None:
         """Does nothing: the accepting side opens no connections."""
 
     def tick(self) -> None:
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -18,6 +18,7 @@
     AttemptState,
     AttemptVerdict,
     OutstandingAttempts,
+    SettledAttempt,
 )
 from radishtray_transport import (
     NodeConnection,
@@ -40,6 +41,9 @@
 _MAX_CONNECT_FAILURES = 5
 _MAX_QUEUED = 4096
 
+ProcessEndedCallback = Callable[[list[wire.Call], int], None]
+_LostAttempts = list[SettledAttempt[SentAttempt, wire.Answer]]
+
 
 class PeerLink:
     """Keeps one connection to a node and settles attempts across reconnects.
@@ -62,6 +66,7 @@
         "_is_control_unconfirmed",
         "_last_call_sent_s",
         "_on_control",
+        "_on_process_ended",
         "_on_rejected",
         "_on_verified",
         "_outstanding",
@@ -85,6 +90,7 @@
         on_control: Callable[[wire.Frame], None],
         on_verified: Callable[[str, int], None],
         on_rejected: Callable[[str], None],
+        on_process_ended: ProcessEndedCallback = lambda _calls, _inc: None,
     ) -> None:
         """Prepares a link; it connects with the first frame.
 
@@ -100,6 +106,8 @@
                 each handshake.
             on_rejected: Called with the reason each time this side aborts a
                 connection.
+            on_process_ended: Called if the peer's process has ended before it
+                answered some calls, with these calls and its incarnation.
         """
         self.address = address
         self._reactor = reactor
@@ -108,6 +116,7 @@
         self._signer = signer
         self._on_control = on_control
         self._on_rejected = on_rejected
+        self._on_process_ended = on_process_ended
         self._on_verified = on_verified
         self._outstanding: OutstandingAttempts[SentAttempt, wire.Answer] = (
             OutstandingAttempts(sequence)
@@ -232,12 +241,27 @@
             connection.abort()
 
     def give_up_attempts(self) -> None:
-        """Ends all handed-over attempts as unknown; aborts the connection."""
+        """Ends all handed-over attempts as unknown; aborts the connection.
+
+        To be called once the peer's process has been replaced by another one at
+        another address.
+        """
+        incarnation = self._outstanding.receiver_incarnation
         lost = self._outstanding.receiver_lost()
         connection, self._connection = self._connection, None
         self._is_connecting = False
         if connection is not None:
             connection.abort()
+        self._settle_ended(lost, incarnation)
+
+    def _settle_ended(self, lost: _LostAttempts, incarnation: int) -> None:
+        """Settles the attempts at a process that has ended as unknown."""
+        if lost:
+            calls = [settled.context.call for settled in lost]
+            self._on_process_ended(calls, incarnation)
+        self._settle_unknown(lost)
+
+    def _settle_unknown(self, lost: _LostAttempts) -> None:
         for settled in lost:
             self._settle_failed(settled.context, SendFailure.UNKNOWN)
 
@@ -307,29 +331,26 @@
         self._connect_failures = 0
         self._ping_sent_s = None
         self._is_control_unconfirmed = False
-        lost = []
         if connection.incarnation != self._incarnation:
             # The receiver does not know attempts that were sent under another
             # incarnation, though it may have run them.
             self._incarnation = connection.incarnation
-            lost = self._outstanding.receiver_lost()
+            self._settle_unknown(self._outstanding.receiver_lost())
+        earlier_incarnation = self._outstanding.receiver_incarnation
         reopened = self._outstanding.opened(
             connection.epoch, connection.peer.incarnation
         )
-        if reopened is not None:
-            lost += reopened.lost_attempts
-        for settled in lost:
-            self._settle_failed(settled.context, SendFailure.UNKNOWN)
         if reopened is None:
             connection.abort()
             return
+        self._settle_ended(reopened.lost_attempts, earlier_incarnation)
         _LOG.info(
             "node link opened",
             extra={
                 "peer": connection.peer.node_id,
                 "incarnation": connection.peer.incarnation,
                 "epoch": connection.epoch,
-                "lost": len(lost),
+                "lost": len(reopened.lost_attempts),
                 "queried": len(reopened.query_ids),
             },
         )
@@ -408,7 +429,7 @@
             return
         self._outstanding.closed(connection.epoch)
         if self._is_connecting:
-            self.connection_failed(connection)
+            self.connection_failed(connection, is_refused=False)
             return
         self._connection = None
         if not self.is_idle:
@@ -426,8 +447,14 @@
         else:
             self._timers.call_later(_RECONNECT_DELAY_S, self._connect)
 
-    def connection_failed(self, connection: NodeConnection) -> None:
-        """Fails queued attempts; reconnects to settle those handed over."""
+    def connection_failed(
+        self, connection: NodeConnection, *, is_refused: bool
+    ) -> None:
+        """Fails queued attempts; reconnects to settle those handed over.
+
+        If the connection was refused, the process that had them has ended,
+        since a node listens until it ends.
+        """
         if connection is not self._connection:
             return
         self._is_connecting = False
@@ -436,9 +463,13 @@
         self._fail_queued_attempts()
         if not self._outstanding.outstanding:
             return
-        if self._connect_failures >= _MAX_CONNECT_FAILURES:
-            for settled in self._outstanding.receiver_lost():
-                self._settle_failed(settled.context, SendFailure.UNKNOWN)
+        if is_refused:
+            self._settle_ended(
+                self._outstanding.receiver_lost(),
+                self._outstanding.receiver_incarnation,
+            )
+        elif self._connect_failures >= _MAX_CONNECT_FAILURES:
+            self._settle_unknown(self._outstanding.receiver_lost())
         else:
             self._timers.call_later(_RECONNECT_DELAY_S, self._connect)
 
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -58,6 +58,10 @@
         """Returns whether requests with this fingerprint must not be sent."""
         return self._crash_tally.check(fingerprint) is SuspectVerdict.REFUSE
 
+    def is_suspect(self, fingerprint: int) -> bool:
+        """Returns whether an upstream crashed while it ran such a request."""
+        return self._crash_tally.crashes(fingerprint) > 0
+
 
 class _Exchange:
     """One request of a caller, from its arrival to its answer."""
--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -214,12 +214,7 @@
         if self._entry.crash_blocklist.is_blocked(self._request.fingerprint):
             self._finish_refused(RefusalReason.CRASH_SUSPECT)
             return
-        chosen = router.selector.choose(
-            self.service,
-            self.rank,
-            self._excluded_nodes,
-            len(self._request.body),
-        )
+        chosen = self._choose_node()
         if isinstance(chosen, RefusalReason):
             router.metrics.count_refusal(chosen)
             self._finish_refused(chosen)
@@ -233,6 +228,28 @@
         router.selector.record_sent(chosen)
         router.send_attempt(chosen, attempt)
 
+    def _choose_node(self) -> str | RefusalReason:
+        """Chooses the node for the next attempt.
+
+        A request that may crash its upstream is sent to another node if there
+        is one: should its crash end the node beside the upstream as well, this
+        node is left to count it.
+        """
+        router = self._entry.router
+        body_bytes = len(self._request.body)
+        if self._entry.crash_blocklist.is_suspect(self._request.fingerprint):
+            chosen = router.selector.choose(
+                self.service,
+                self.rank,
+                (*self._excluded_nodes, router.node_id),
+                body_bytes,
+            )
+            if not isinstance(chosen, RefusalReason):
+                return chosen
+        return router.selector.choose(
+            self.service, self.rank, self._excluded_nodes, body_bytes
+        )
+
     def _build_call(self) -> wire.Call:
         request = self._request
         left_s = self.deadline_s - self._attempt_sent_s - _DEADLINE_MARGIN_S
--- a/packages/node/radishtray_node/tests/test_crashing_requests.py
+++ b/packages/node/radishtray_node/tests/test_crashing_requests.py
@@ -177,6 +177,39 @@
     assert callers.late_runs <= MAX_LATE_RUNS
 
 
+def test_a_request_that_ran_beside_nodes_that_ended_alone_is_served() -> None:
+    """Guards against counting the ends of nodes whose upstreams survive."""
+    fleet = GatewayFleet(
+        build_route_table(build_route("one", "s", timeout_s=6.0))
+    )
+    fleet.add("e", "x")
+    for name in UPSTREAMS:
+        fleet.add(name, "s", slots=SLOTS)
+        fleet.upstreams[name].on_run = lambda http: None
+    fleet.run(5)
+    for number in range(40):
+        fleet.send("e", "/one/popular", f"r{number}", deadline_ms=5000)
+    fleet.run(0.1)
+    ended = [name for name in UPSTREAMS if fleet.upstreams[name].runs][:3]
+    assert len(ended) == 3
+    for name in ended:
+        fleet.kill(name)
+    fleet.run(1)
+    refused = fleet.send("e", "/one/popular", "early", deadline_ms=5000)
+    fleet.run(0.1)
+    assert refused.status == 503, "the upstreams may have crashed"
+    for name in ended:
+        fleet.restart(name)
+    fleet.run(2)
+    for name in UPSTREAMS:
+        fleet.upstreams[name].on_run = fleet.upstreams[name].answer
+        fleet.report(name)
+    fleet.run(1)
+    result = fleet.send("e", "/one/popular", "later", deadline_ms=5000)
+    fleet.run(1)
+    assert result.status == 200
+
+
 def test_a_crashing_request_that_comes_again_for_minutes_stays_stopped() -> (
     None
 ):
--- a/packages/protocol/radishtray_protocol/_gen/ttypes.py
+++ b/packages/protocol/radishtray_protocol/_gen/ttypes.py
@@ -2113,10 +2113,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.crash_ids = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = iprot.readI64()
-                        self.crash_ids.append(_elem102)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = iprot.readI64()
+                        self.crash_ids.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2145,8 +2145,8 @@
         if self.crash_ids is not None:
             oprot.writeFieldBegin('crash_ids', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.crash_ids))
-            for iter103 in self.crash_ids:
-                oprot.writeI64(iter103)
+            for iter57 in self.crash_ids:
+                oprot.writeI64(iter57)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2207,11 +2207,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = CrashSuspect()
-                        _elem33.read(iprot)
-                        self.suspects.append(_elem33)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = CrashSuspect()
+                        _elem63.read(iprot)
+                        self.suspects.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2228,8 +2228,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter34 in self.suspects:
-                iter34.write(oprot)
+            for iter64 in self.suspects:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2539,6 +2539,7 @@
      - draining
      - platform_lost: Whether the last call to the platform failed; unset means no.
      - failure_percent: Percent of the requests that the upstream fails by itself; unset means 0.
+     - upstream_digest: Digest that names the process of the upstream; unset if none is known.
 
     """
 
@@ -2556,10 +2557,11 @@
         'draining',
         'platform_lost',
         'failure_percent',
+        'upstream_digest',
     )
 
 
-    def __init__(self, node_id=None, incarnation=None, state=None, version=None, gossip_address=None, node_address=None, failure_domain=None, service_name=None, slots=None, serving=None, draining=None, platform_lost=None, failure_percent=None,):
+    def __init__(self, node_id=None, incarnation=None, state=None, version=None, gossip_address=None, node_address=None, failure_domain=None, service_name=None, slots=None, serving=None, draining=None, platform_lost=None, failure_percent=None, upstream_digest=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.state = state
@@ -2573,6 +2575,7 @@
         self.draining = draining
         self.platform_lost = platform_lost
         self.failure_percent = failure_percent
+        self.upstream_digest = upstream_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2648,6 +2651,11 @@
                     self.failure_percent = iprot.readI16()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.upstream_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2710,6 +2718,10 @@
             oprot.writeFieldBegin('failure_percent', TType.I16, 13)
             oprot.writeI16(self.failure_percent)
             oprot.writeFieldEnd()
+        if self.upstream_digest is not None:
+            oprot.writeFieldBegin('upstream_digest', TType.I64, 14)
+            oprot.writeI64(self.upstream_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2825,11 +2837,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.updates = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = Member()
-                        _elem56.read(iprot)
-                        self.updates.append(_elem56)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = Member()
+                        _elem70.read(iprot)
+                        self.updates.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2841,11 +2853,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = CrashSuspect()
-                        _elem62.read(iprot)
-                        self.suspects.append(_elem62)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = CrashSuspect()
+                        _elem76.read(iprot)
+                        self.suspects.append(_elem76)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2883,8 +2895,8 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter63 in self.updates:
-                iter63.write(oprot)
+            for iter77 in self.updates:
+                iter77.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.generation is not None:
@@ -2894,8 +2906,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter64 in self.suspects:
-                iter64.write(oprot)
+            for iter78 in self.suspects:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.view_digest is not None:
@@ -3124,6 +3136,7 @@
     (11, TType.BOOL, 'draining', None, None, ),  # 11
     (12, TType.BOOL, 'platform_lost', None, None, ),  # 12
     (13, TType.I16, 'failure_percent', None, None, ),  # 13
+    (14, TType.I64, 'upstream_digest', None, None, ),  # 14
 )
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
--- a/packages/protocol/radishtray_protocol/wire.thrift
+++ b/packages/protocol/radishtray_protocol/wire.thrift
@@ -201,6 +201,8 @@
   12: optional bool platform_lost
   /** Percent of the requests that the upstream fails by itself; unset means 0. */
   13: optional i16 failure_percent
+  /** Digest that names the process of the upstream; unset if none is known. */
+  14: optional i64 upstream_digest
 }
 
 enum GossipKind {
--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -37,6 +37,7 @@
     suspect_hosts,
 )
 from radishtray_state._crash_tally import CrashTally
+from radishtray_state._ended_processes import EndedProcesses, digest_63_bits
 from radishtray_state._failure_estimator import FailureEstimator
 from radishtray_state._gossip import (
     MAX_CRASH_IDS,
@@ -164,6 +165,7 @@
     "CrashSuspects",
     "CrashTally",
     "Datagram",
+    "EndedProcesses",
     "FailureEstimator",
     "GossipKind",
     "GossipMessage",
@@ -223,6 +225,7 @@
     "WeightedRoundRobin",
     "admission_policy",
     "claim_free_slots",
+    "digest_63_bits",
     "extend_horizon",
     "fingerprint",
     "hand_over",
--- a/packages/state/radishtray_state/_crash_tally.py
+++ b/packages/state/radishtray_state/_crash_tally.py
@@ -183,6 +183,41 @@
         self._add_crashes(fingerprint, (self._new_crash_id(),), _RETENTION_S)
         return self.crashes(fingerprint)
 
+    def record_process_end(
+        self, fingerprints: Iterable[int], crash_id: int
+    ) -> list[CrashSuspect]:
+        """Counts a crash that ended the node beside the upstream as well.
+
+        Args:
+            fingerprints: Contents that were running there.
+            crash_id: Id that all nodes give to this crash.
+
+        Returns:
+            What this changed, for the other nodes of the service.
+        """
+        now = self._clock.monotonic()
+        changed = []
+        for fingerprint in dict.fromkeys(fingerprints):
+            self._add_crashes(fingerprint, (crash_id,), _RETENTION_S)
+            entry = self._entries.get(fingerprint)
+            if entry is not None and crash_id in entry.crash_ids:
+                changed.append(self._export_entry(fingerprint, entry, now))
+        return changed
+
+    def retract(self, crash_id: int) -> list[CrashSuspect]:
+        """Removes a crash that has turned out to be none.
+
+        Returns:
+            What this changed, for the other nodes of the service.
+        """
+        changed = [
+            CrashSuspect(fingerprint, 0, _RETENTION_S, (crash_id,))
+            for fingerprint, entry in self._entries.items()
+            if crash_id in entry.crash_ids
+        ]
+        self.merge(changed)
+        return changed
+
     def _new_crash_id(self) -> int:
         return self._rng.getrandbits(_CRASH_ID_BITS)
 
--- a/packages/state/radishtray_state/_member.py
+++ b/packages/state/radishtray_state/_member.py
@@ -69,6 +69,9 @@
     failure_percent: int = 0
     """Percent of the requests that its upstream fails by itself."""
 
+    upstream_digest: int = 0
+    """Digest that names the process of its upstream; 0 if none is known."""
+
     def __post_init__(self) -> None:
         """Validates the fields.
 
--- a/packages/state/radishtray_state/_membership.py
+++ b/packages/state/radishtray_state/_membership.py
@@ -315,6 +315,7 @@
         draining: bool | None = None,
         platform_lost: bool | None = None,
         failure_percent: int | None = None,
+        upstream_digest: int | None = None,
     ) -> list[Datagram]:
         """Changes the record of this node and pushes it to a few members.
 
@@ -335,6 +336,9 @@
             failure_percent=own.failure_percent
             if failure_percent is None
             else failure_percent,
+            upstream_digest=own.upstream_digest
+            if upstream_digest is None
+            else upstream_digest,
         )
         if changed == own:
             return []
--- a/packages/state/radishtray_state/_outstanding_attempts.py
+++ b/packages/state/radishtray_state/_outstanding_attempts.py
@@ -201,6 +201,11 @@
         """Number of attempts sent and not settled."""
         return len(self._current) + len(self._earlier)
 
+    @property
+    def receiver_incarnation(self) -> int:
+        """Incarnation of the receiver's process; 0 if none is known."""
+        return self._receiver_incarnation
+
     @property
     def late_answers(self) -> int:
         """Ignored answers to settled attempts or on older connections."""
--- a/packages/state/radishtray_state/tests/test_crash_tally.py
+++ b/packages/state/radishtray_state/tests/test_crash_tally.py
@@ -146,3 +146,27 @@
     clock.advance(61)
     crash(tally, CRASHING)
     assert tally.crashes(CRASHING) == 1
+
+
+def test_the_end_of_a_process_counts_once_however_many_senders_report_it() -> (
+    None
+):
+    clock = ManualClock()
+    senders = [CrashTally(clock) for _ in range(3)]
+    for sender in senders:
+        changed = sender.record_process_end((CRASHING, CRASHING), 99)
+        for other in senders:
+            other.merge(changed)
+    assert {sender.crashes(CRASHING) for sender in senders} == {1}
+
+
+def test_a_retracted_crash_counts_at_no_node() -> None:
+    clock = ManualClock()
+    here, there = CrashTally(clock), CrashTally(clock)
+    late_report = here.record_process_end((CRASHING, HARMLESS), 99)
+    there.merge(late_report)
+    crash(there, CRASHING)
+    there.merge(here.retract(99))
+    there.merge(late_report)
+    assert (there.crashes(CRASHING), there.crashes(HARMLESS)) == (1, 0)
+    assert len(here) == 0
--- a/packages/testing/radishtray_testing/node_slopes.py
+++ b/packages/testing/radishtray_testing/node_slopes.py
@@ -168,7 +168,9 @@
     def read_finished(self, connection: NodeConnection) -> None:
         """Does nothing."""
 
-    def connection_failed(self, connection: NodeConnection) -> None:
+    def connection_failed(
+        self, connection: NodeConnection, *, is_refused: bool
+    ) -> None:
         """Stops the measurement.
 
         Raises:
--- a/packages/transport/radishtray_transport/_gossip_codec.py
+++ b/packages/transport/radishtray_transport/_gossip_codec.py
@@ -167,6 +167,7 @@
         record.draining,
         record.platform_lost or None,
         record.failure_percent or None,
+        record.upstream_digest or None,
     )
 
 
@@ -186,6 +187,7 @@
         bool(member.draining),
         bool(member.platform_lost),
         member.failure_percent or 0,
+        member.upstream_digest or 0,
     )
 
 
--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -10,6 +10,7 @@
 import secrets
 from typing import Protocol as TypingProtocol
 
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.interfaces import (
     IDelayedCall,
     IListeningPort,
@@ -292,8 +293,15 @@
         """The connection was closed by either side or by a failure."""
         ...
 
-    def connection_failed(self, connection: NodeConnection) -> None:
-        """The TCP connection could not be opened."""
+    def connection_failed(
+        self, connection: NodeConnection, *, is_refused: bool
+    ) -> None:
+        """The TCP connection could not be opened.
+
+        Args:
+            connection: The connection.
+            is_refused: Whether no process listens at the address.
+        """
         ...
 
 
@@ -309,8 +317,13 @@
     def buildProtocol(self, addr: object) -> NodeConnection:
         return self._connection
 
-    def clientConnectionFailed(self, connector: object, reason: object) -> None:
-        self._events.connection_failed(self._connection)
+    def clientConnectionFailed(
+        self, connector: object, reason: Failure
+    ) -> None:
+        self._events.connection_failed(
+            self._connection,
+            is_refused=reason.check(ConnectionRefusedError) is not None,
+        )
 
 
 def open_node_connection(
@@ -437,7 +450,9 @@
         self._connections.discard(connection)
         self._events.connection_lost(connection)
 
-    def connection_failed(self, connection: NodeConnection) -> None:
+    def connection_failed(
+        self, connection: NodeConnection, *, is_refused: bool
+    ) -> None:
         """Does nothing, since a listener opens no connections."""
 
 
