Limit how many large answers of an upstream are read at the same time

Report of other operators: an upstream sends bytes without end; the machine that called it keeps them and runs out of memory, and the requests of others end with it.

It can happen here. Heads and bytes that are no answer were bounded enough.

Beyond 64 KB, only 24 bodies are now read at the same time; the others wait unread, so that the upstream has to wait as well, until one has ended, failed at its limit or reached its deadline. All of them together take about 50 MB plus 64 KB a slot.

Ruled out: failing the largest body instead, as large answers that are whole would fail with it; a smaller limit for each body, as that rejects what is served today.

--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -18,7 +18,12 @@
     RefusalReason,
     digest_63_bits,
 )
-from radishtray_transport import HttpClient, ResponseFault, ResponseRules
+from radishtray_transport import (
+    HttpClient,
+    LargeBodyLimit,
+    ResponseFault,
+    ResponseRules,
+)
 
 _LOG = logging.getLogger(__name__)
 HEARTBEAT_PROBE_S = 3.0
@@ -30,6 +35,8 @@
 # being closed after a cancelled request.
 _SPARE_CONNECTIONS = 16
 _MAX_RESPONSE_BYTES = 2 * 1024 * 1024
+# Bounds the memory for answers that are being read to about 50 MB.
+_MAX_LARGE_RESPONSES = 24
 
 
 class Announcement:
@@ -194,6 +201,7 @@
     __slots__ = (
         "_clock",
         "_identity",
+        "_large_bodies",
         "_last_heartbeat_s",
         "_on_change",
         "_on_crash",
@@ -241,6 +249,7 @@
                 request rate of the upstream.
         """
         self._on_response_fault = on_response_fault
+        self._large_bodies = LargeBodyLimit(_MAX_LARGE_RESPONSES)
         self._response_rules = response_rules
         self._reactor = reactor
         self._clock = clock
@@ -320,6 +329,7 @@
             _MAX_RESPONSE_BYTES,
             self._response_rules,
             self._on_response_fault,
+            large_bodies=self._large_bodies,
         )
         self.process = UpstreamProcess(client)
         if announcement.cold_start_s > 0:
--- a/packages/node/radishtray_node/tests/test_reported_faults.py
+++ b/packages/node/radishtray_node/tests/test_reported_faults.py
@@ -309,3 +309,70 @@
     assert not {429, 503, 408, 421} & {result.status for result in results}
     if path == "/once/":
         assert [runs_of(fleet, f"r{n}") for n in range(8)] == [1] * 8
+
+
+ANSWER_HEAD = f"HTTP/1.1 200 OK\r\n{ID}: {{id}}\r\n"
+# Name: head of the answer, bytes that are then repeated without end.
+ENDLESS_ANSWERS = {
+    "head": (ANSWER_HEAD + "X-More: ", b"x" * 16_384),
+    "head_lines": (ANSWER_HEAD, b"X-A: value\r\n" * 1_000),
+    "body": (ANSWER_HEAD + "Content-Length: 9999999999\r\n\r\n", b"x" * 16_384),
+    "body_until_close": (ANSWER_HEAD + "\r\n", b"x" * 16_384),
+    "body_in_chunks": (
+        ANSWER_HEAD + "Transfer-Encoding: chunked\r\n\r\n",
+        b"2000\r\n" + b"x" * 8_192 + b"\r\n",
+    ),
+    "no_answer": ("", b"x" * 16_384),
+}
+# A node may take 200 MB in all; an idle one takes 36 MB.
+MAX_HELD_BYTES = 100 * 1024 * 1024
+
+
+@pytest.mark.parametrize("name", ENDLESS_ANSWERS)
+def test_bytes_without_end_to_many_requests_leave_the_node_its_memory(
+    name: str,
+) -> None:
+    head, unit = ENDLESS_ANSWERS[name]
+    fleet = GatewayFleet(TABLE)
+    fleet.add("e", "x")
+    upstream = fleet.add("n0", "s", slots=200)
+    fleet.run(3)
+
+    def answer(http: HttpRequest) -> None:
+        if b"endless" not in http.uri:
+            upstream.answer(http)
+            return
+        channel = http.channel
+        assert channel is not None
+        request_id = (http.header(ID.encode()) or b"").decode()
+        channel.transport.write(head.format(id=request_id).encode())
+        send_more(channel.transport)
+
+    def send_more(transport: Any) -> None:
+        if transport.connected:
+            transport.write(unit)
+            upstream.reactor.callLater(0.005, send_more, transport)
+
+    upstream.on_run = answer
+    caller = fleet.open_caller("e", 150)
+    faulty = [
+        fleet.send(
+            "e", "/once/endless", f"r{n}", deadline_ms=1400, caller=caller
+        )
+        for n in range(150)
+    ]
+    served = []
+    most_held = 0
+    for step in range(100):
+        served.append(fleet.send("e", "/safe/", f"s{step}"))
+        fleet.run(0.02)
+        held = sum(
+            client_end.protocol.held_bytes
+            for client_end, _ in fleet.upstream_connections("n0")
+        )
+        most_held = max(most_held, held)
+    fleet.run(1)
+    assert most_held < MAX_HELD_BYTES
+    assert {result.status for result in faulty} <= {502, 504}
+    assert {result.status for result in served} == {200}
+    assert not fleet.upstream_connections("n0")[len(served) :]
--- a/packages/transport/radishtray_transport/__init__.py
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -22,6 +22,7 @@
 )
 from radishtray_transport._http_request import HttpLimits, HttpRequest
 from radishtray_transport._http_server import HttpServer
+from radishtray_transport._large_bodies import LargeBodyLimit
 from radishtray_transport._node_connection import (
     ConnectionEvents,
     NodeConnection,
@@ -59,6 +60,7 @@
     "HttpRequest",
     "HttpResponse",
     "HttpServer",
+    "LargeBodyLimit",
     "ListedObject",
     "NodeConnection",
     "NodeIdentity",
--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -20,6 +20,7 @@
     ResponseFault,
     ResponseRules,
 )
+from radishtray_transport._large_bodies import LargeBodyLimit
 
 DEFAULT_MAX_BODY_BYTES = 2 * 1024 * 1024
 
@@ -45,6 +46,8 @@
     already sent.
 
     Attributes:
+        large_bodies: Limits how many large bodies are read at the same time;
+            None for no limit.
         max_body_bytes: Maximum size of a response body.
         max_connections: Maximum number of open connections; a lower one does
             not close those that are open.
@@ -64,6 +67,7 @@
         "_port",
         "_queued_requests",
         "_reactor",
+        "large_bodies",
         "max_body_bytes",
         "max_connections",
         "report_fault",
@@ -82,6 +86,7 @@
         on_fault: Callable[[ResponseFault], None] = lambda _: None,
         *,
         uses_keep_alive: bool = False,
+        large_bodies: LargeBodyLimit | None = None,
     ) -> None:
         """Configures a client; connections are opened on demand.
 
@@ -95,7 +100,10 @@
             on_fault: Called with each fault in what the server sends.
             uses_keep_alive: Whether connections on which the server has fallen
                 silent are ended.
+            large_bodies: Limits how many large bodies are read at the same
+                time; None for no limit.
         """
+        self.large_bodies = large_bodies
         self.uses_keep_alive = uses_keep_alive
         self.report_fault = on_fault
         self.max_body_bytes = max_body_bytes
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -19,6 +19,7 @@
     ResponseRules,
 )
 from radishtray_transport._keep_alive import enable_keep_alive
+from radishtray_transport._large_bodies import FREE_BODY_BYTES, LargeBodyLimit
 
 # Hop-by-hop headers and Content-Length are not part of the reported response.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -58,9 +59,12 @@
     Attributes:
         max_body_bytes: Maximum size of a response body.
         rules: How responses are read.
+        large_bodies: Limits how many large bodies are read at the same time;
+            None for no limit.
         uses_keep_alive: Whether silent connections are to be ended.
     """
 
+    large_bodies: LargeBodyLimit | None
     max_body_bytes: int
     rules: ResponseRules
     uses_keep_alive: bool
@@ -98,6 +102,9 @@
         self._id_header = pool.rules.request_id_header.encode("latin-1")
         self._idle_limit_s = pool.rules.idle_limit_s
         self._max_body_bytes = pool.max_body_bytes
+        self._large_bodies = pool.large_bodies
+        self._has_large_body = False
+        self._is_reading_paused = False
         self._parser: HttpResponseParser | None = HttpResponseParser(self)
         self._pending: PendingRequest | None = None
         # Keys are the ids of the newest requests; a dict keeps their order.
@@ -119,6 +126,7 @@
         self._status = 0
         self._headers: HeaderList = []
         self._body.clear()
+        self._end_large_body()
         self._is_parsing_head = True
         self._has_framing_header = False
         self._reason_phrase = b""
@@ -134,6 +142,11 @@
         """Idle seconds after which the connection is not reused."""
         return self._idle_limit_s
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the body of a response that has not been read whole."""
+        return self._body.size
+
     def has_sent(self, pending: PendingRequest) -> bool:
         """Returns whether a recent request on this connection had this id.
 
@@ -170,6 +183,7 @@
         """Closes the connection without waiting for a response."""
         self._pending = None
         self._parser = None
+        self._end_large_body()
         self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
@@ -328,6 +342,30 @@
         else:
             self._body.append(part)
 
+        if self._body.size > FREE_BODY_BYTES and not self._has_large_body:
+            self._begin_large_body()
+
+    def _begin_large_body(self) -> None:
+        """Stops reading unless the limit of large bodies allows another."""
+        self._has_large_body = True
+        if self._large_bodies is not None and not self._large_bodies.enter(
+            self, self._resume_reading
+        ):
+            self._is_reading_paused = True
+            self.transport.pauseProducing()
+
+    def _resume_reading(self) -> None:
+        if self._is_reading_paused:
+            self._is_reading_paused = False
+            self.transport.resumeProducing()
+
+    def _end_large_body(self) -> None:
+        """Lets another large body be read, if this response had one."""
+        if self._has_large_body and self._large_bodies is not None:
+            self._has_large_body = False
+            self._large_bodies.leave(self)
+            self._resume_reading()
+
     def on_message_complete(self) -> None:
         """Completes the response, or discards an interim (1xx) one."""
         parser = self._parser
@@ -401,6 +439,7 @@
         """Reports a close-delimited response, or else the lost connection."""
         self._pool.connection_closed(self)
         self._parser = None
+        self._end_large_body()
         pending = self._pending
         self._pending = None
         if pending is None:
--- a/packages/transport/radishtray_transport/tests/test_endless_answers.py
+++ b/packages/transport/radishtray_transport/tests/test_endless_answers.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from radishtray_transport import RequestFailure
+from radishtray_transport import LargeBodyLimit, RequestFailure
+from radishtray_transport._large_bodies import FREE_BODY_BYTES
 from radishtray_transport.tests.answer_builders import (
     ClientServerPair,
     build_response,
@@ -295,3 +296,31 @@
     assert pair.results == [body]
     connection = pair.network.connections[pair.port][0][0].protocol
     assert held_bytes(vars(connection)) < 5000
+
+
+def test_large_answers_are_all_delivered_if_few_are_read_at_a_time() -> None:
+    limit = LargeBodyLimit(2)
+    pair = ClientServerPair(
+        8, max_body_bytes=_MAX_BODY_BYTES, large_bodies=limit
+    )
+    bodies = [bytes([number]) * 90_000 for number in range(8)]
+    for number, body in enumerate(bodies):
+        response = build_response(str(number), body)
+
+        def answer(transport: Any, response: bytes = response) -> None:
+            for start in range(0, len(response), _MEASURED_BYTES):
+                pair.network.callLater(
+                    start / 300_000,
+                    transport.write,
+                    response[start : start + _MEASURED_BYTES],
+                )
+
+        pair.send(str(number), answer, 0.01)
+    held = 0
+    while len(pair.results) < len(bodies) and pair.network.seconds() < 5:
+        pair.network.advance(0.01)
+        ends = pair.network.connections[pair.port]
+        held = max(held, sum(end.protocol.held_bytes for end, _ in ends))
+    assert sorted(pair.results) == bodies
+    assert held <= 2 * 90_000 + 6 * (FREE_BODY_BYTES + _MEASURED_BYTES)
+    assert limit.readers == 0
