Refuse a crashing request for as long as it comes again

The tally of crashes dropped a content 60 s after its last crash, and refused copies did not count as arrivals, so a request that kept coming was run anew each minute.

A content with three crashes is now remembered for an hour after it last arrived anywhere; arrivals extend the entry, and gossip carries the extension. Crashes below three are remembered for ten minutes instead of one, so that a slow repetition adds up. Since a refused content gets no answer that could clear it, although it may be harmless or its upstream corrected, one node of the fleet (by rendezvous hashing) runs it once after 60 s and once ten minutes later (claim_probe, is_crash_probe of a call); an answer clears it everywhere. Cleared contents that had been refused are gossiped first and remembered as long.

Class of fault: a quarantine that ends by time alone, though what it guards against goes on.

Ruled out: extending the 60 s by arrivals only, without probes, since a harmless content that is asked for all the time would never be served again.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -52,6 +52,7 @@
     SlotOwner,
     UpstreamReport,
     UpstreamSelector,
+    suspect_host,
 )
 from radishtray_transport import (
     HttpLimits,
@@ -197,7 +198,7 @@
         self.entry = RouteEntry(
             self._router,
             self._arrival_budget,
-            CrashBlocklist(self.crash_tally),
+            CrashBlocklist(self.crash_tally, self._is_crash_prober),
             self._upstream_server.chains,
             settings.headers,
             settings.service,
@@ -542,6 +543,14 @@
         changed = self._upstream_server.handle_upstream_crash()
         self._send_crashes(changed, self.settings.service)
 
+    def _is_crash_prober(self, fingerprint: int) -> bool:
+        live = (
+            member.node_id
+            for member in self.fleet.membership.members()
+            if member.is_live
+        )
+        return suspect_host(fingerprint, live) == self.settings.node_id
+
     def _send_crashes(self, changed: list[CrashSuspect], service: str) -> None:
         """Tells the nodes of a service, where the requests may go next.
 
--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -167,6 +167,8 @@
         return digest.digest()
 
     def _suspect_verdict(self) -> SuspectVerdict:
+        if self._call.is_crash_probe:
+            return SuspectVerdict.RUN
         suspects = self._server.upstream.suspects
         return suspects.check(
             self.request.fingerprint, self.request.crash_count
--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -211,7 +211,9 @@
 
     def _choose_and_send(self) -> None:
         router = self._entry.router
-        if self._entry.crash_blocklist.is_blocked(self._request.fingerprint):
+        blocklist = self._entry.crash_blocklist
+        is_blocked = blocklist.is_blocked(self._request.fingerprint)
+        if is_blocked and not blocklist.claim_probe(self._request.fingerprint):
             self._finish_refused(RefusalReason.CRASH_SUSPECT)
             return
         chosen = self._choose_node()
@@ -222,7 +224,7 @@
         self._node_id = chosen
         self._attempt_sent_s = router.clock.monotonic()
         attempt = SentAttempt(
-            self._build_call(), self._on_answer, self._on_failure
+            self._build_call(is_blocked), self._on_answer, self._on_failure
         )
         self._attempt = attempt
         router.selector.record_sent(chosen)
@@ -250,7 +252,7 @@
             self.service, self.rank, self._excluded_nodes, body_bytes
         )
 
-    def _build_call(self) -> wire.Call:
+    def _build_call(self, is_crash_probe: bool) -> wire.Call:
         request = self._request
         left_s = self.deadline_s - self._attempt_sent_s - _DEADLINE_MARGIN_S
         return wire.Call(
@@ -274,6 +276,7 @@
             generation=self._version,
             repeatable=self.route.is_repeatable,
             is_repeat=request.is_repeat or self._upstream_arrivals > 0,
+            is_crash_probe=is_crash_probe or None,
         )
 
     def _on_answer(self, answer: wire.Answer) -> None:
--- a/packages/node/radishtray_node/_upstream_server.py
+++ b/packages/node/radishtray_node/_upstream_server.py
@@ -173,7 +173,9 @@
         """Returns why this node cannot run a call at present, or None."""
         if self.is_draining:
             return RefusalReason.DRAINING
-        if self._is_blocked(call.context.fingerprint):
+        if not call.is_crash_probe and self._is_blocked(
+            call.context.fingerprint
+        ):
             return RefusalReason.CRASH_SUSPECT
         if self.upstream.service != call.service_name:
             return RefusalReason.NO_UPSTREAM
--- a/packages/protocol/radishtray_protocol/_gen/ttypes.py
+++ b/packages/protocol/radishtray_protocol/_gen/ttypes.py
@@ -512,6 +512,7 @@
     its own context.
      - is_repeat: Whether an upstream may have run the request, or the one that it was
     made for, before.
+     - is_crash_probe: Whether to run the request although its content is refused for crashes.
 
     """
 
@@ -527,10 +528,11 @@
         'generation',
         'repeatable',
         'is_repeat',
+        'is_crash_probe',
     )
 
 
-    def __init__(self, attempt_id=None, service_name=None, kind=None, method=None, path=None, headers=None, body=None, context=None, generation=None, repeatable=None, is_repeat=None,):
+    def __init__(self, attempt_id=None, service_name=None, kind=None, method=None, path=None, headers=None, body=None, context=None, generation=None, repeatable=None, is_repeat=None, is_crash_probe=None,):
         self.attempt_id = attempt_id
         self.service_name = service_name
         self.kind = kind
@@ -542,6 +544,7 @@
         self.generation = generation
         self.repeatable = repeatable
         self.is_repeat = is_repeat
+        self.is_crash_probe = is_crash_probe
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -613,6 +616,11 @@
                     self.is_repeat = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.is_crash_probe = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -670,6 +678,10 @@
             oprot.writeFieldBegin('is_repeat', TType.BOOL, 11)
             oprot.writeBool(self.is_repeat)
             oprot.writeFieldEnd()
+        if self.is_crash_probe is not None:
+            oprot.writeFieldBegin('is_crash_probe', TType.BOOL, 12)
+            oprot.writeBool(self.is_crash_probe)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2992,6 +3004,7 @@
     (9, TType.I64, 'generation', None, None, ),  # 9
     (10, TType.BOOL, 'repeatable', None, None, ),  # 10
     (11, TType.BOOL, 'is_repeat', None, None, ),  # 11
+    (12, TType.BOOL, 'is_crash_probe', None, None, ),  # 12
 )
 all_structs.append(Answer)
 Answer.thrift_spec = (
--- a/packages/protocol/radishtray_protocol/wire.thrift
+++ b/packages/protocol/radishtray_protocol/wire.thrift
@@ -47,6 +47,8 @@
   /** Whether an upstream may have run the request, or the one that it was
    *  made for, before. */
   11: optional bool is_repeat
+  /** Whether to run the request although its content is refused for crashes. */
+  12: optional bool is_crash_probe
 }
 
 struct Answer {
--- a/packages/state/radishtray_state/_crash_tally.py
+++ b/packages/state/radishtray_state/_crash_tally.py
@@ -5,6 +5,10 @@
 all of them suspects. This tally only counts crashes, over all nodes, and
 starts again as soon as a run of the content is answered.
 
+A content that is refused cannot be answered, although it may be harmless or its
+upstream may have been corrected. A few single runs are therefore tried later;
+see `claim_probe`.
+
 Every crash has an id. Nodes exchange the ids and keep their union, so that
 crashes that different nodes saw add up, and a crash that several nodes report
 counts once. An answer clears the ids that are known where it arrives.
@@ -21,7 +25,13 @@
 # together with it again after a resend. That this happens three times without
 # any answer in between is not expected.
 BLOCK_THRESHOLD = 3
-_RETENTION_S = 60.0
+# Time for which crashes below the threshold are remembered.
+_COUNT_RETENTION_S = 600.0
+# Time for which a refused content is remembered after its last arrival.
+_BLOCK_RETENTION_S = 3600.0
+# Time from the threshold, or from a probe, to the next probe. There are no more
+# probes, since each may crash another upstream.
+_PROBE_DELAYS_S = (60.0, 600.0)
 # A crash within this time after a run was abandoned counts against it, because
 # the upstream may not have noticed.
 _ABANDONED_RUN_S = 1.0
@@ -32,11 +42,18 @@
 class _Entry:
     """Ids of the crashes of one content, or of those that an answer cleared."""
 
-    __slots__ = ("crash_ids", "expires_at")
+    __slots__ = ("crash_ids", "expires_at", "probe_at", "probes")
+
+    def __init__(self) -> None:
+        self.crash_ids: set[int] = set()
+        self.expires_at = 0.0
+        self.probe_at = 0.0
+        self.probes = 0
 
-    def __init__(self, crash_ids: set[int], expires_at: float) -> None:
-        self.crash_ids = crash_ids
-        self.expires_at = expires_at
+    @property
+    def has_many(self) -> bool:
+        """Whether the crashes are enough to refuse the content."""
+        return len(self.crash_ids) >= BLOCK_THRESHOLD
 
     @property
     def importance(self) -> tuple[int, float]:
@@ -99,9 +116,37 @@
             crash_count: Number of crashes that the sender knows of.
         """
         known = max(self.crashes(fingerprint), crash_count)
-        if known >= BLOCK_THRESHOLD:
-            return SuspectVerdict.REFUSE
-        return SuspectVerdict.RUN
+        if known < BLOCK_THRESHOLD:
+            return SuspectVerdict.RUN
+        entry = self._entries.get(fingerprint)
+        if entry is not None:
+            entry.expires_at = self._clock.monotonic() + _BLOCK_RETENTION_S
+        return SuspectVerdict.REFUSE
+
+    def is_probe_due(self, fingerprint: int) -> bool:
+        """Returns whether a refused content may be run once."""
+        entry = self._entries.get(fingerprint)
+        return (
+            entry is not None
+            and entry.has_many
+            and entry.probes < len(_PROBE_DELAYS_S)
+            and self._clock.monotonic() >= entry.probe_at
+        )
+
+    def claim_probe(self, fingerprint: int) -> bool:
+        """Returns whether to run a refused content once, and counts the run.
+
+        Only one node of the fleet should run probes of a content.
+        """
+        if not self.is_probe_due(fingerprint):
+            return False
+        entry = self._entries[fingerprint]
+        entry.probes += 1
+        if entry.probes < len(_PROBE_DELAYS_S):
+            entry.probe_at = (
+                self._clock.monotonic() + _PROBE_DELAYS_S[entry.probes]
+            )
+        return True
 
     def record_start(self, fingerprint: int) -> None:
         """Records that a run of a content has started."""
@@ -144,12 +189,9 @@
     def _clear(self, fingerprint: int) -> None:
         entry = self._entries.pop(fingerprint, None)
         if entry is not None:
-            self._add_cleared(fingerprint, entry.crash_ids, _RETENTION_S)
-
-    def _add_cleared(
-        self, fingerprint: int, crash_ids: Iterable[int], ttl_s: float
-    ) -> None:
-        self._add(self._cleared, fingerprint, crash_ids, ttl_s)
+            self._add(
+                self._cleared, fingerprint, entry.crash_ids, _COUNT_RETENTION_S
+            )
 
     def _remove_run(self, fingerprint: int) -> None:
         count = self._running_counts.get(fingerprint, 0) - 1
@@ -171,7 +213,7 @@
         self._running_counts.clear()
         self._abandoned_until.clear()
         for fingerprint in running:
-            self._add_crashes(fingerprint, (crash_id,), _RETENTION_S)
+            self._add_crashes(fingerprint, (crash_id,), _COUNT_RETENTION_S)
         return [
             self._export_entry(fingerprint, self._entries[fingerprint], now)
             for fingerprint in running
@@ -180,7 +222,9 @@
 
     def record_crash(self, fingerprint: int) -> int:
         """Counts one crash and returns the new count."""
-        self._add_crashes(fingerprint, (self._new_crash_id(),), _RETENTION_S)
+        self._add_crashes(
+            fingerprint, (self._new_crash_id(),), _COUNT_RETENTION_S
+        )
         return self.crashes(fingerprint)
 
     def record_process_end(
@@ -198,7 +242,7 @@
         now = self._clock.monotonic()
         changed = []
         for fingerprint in dict.fromkeys(fingerprints):
-            self._add_crashes(fingerprint, (crash_id,), _RETENTION_S)
+            self._add_crashes(fingerprint, (crash_id,), _COUNT_RETENTION_S)
             entry = self._entries.get(fingerprint)
             if entry is not None and crash_id in entry.crash_ids:
                 changed.append(self._export_entry(fingerprint, entry, now))
@@ -211,7 +255,7 @@
             What this changed, for the other nodes of the service.
         """
         changed = [
-            CrashSuspect(fingerprint, 0, _RETENTION_S, (crash_id,))
+            CrashSuspect(fingerprint, 0, _COUNT_RETENTION_S, (crash_id,))
             for fingerprint, entry in self._entries.items()
             if crash_id in entry.crash_ids
         ]
@@ -245,15 +289,19 @@
         crash_ids: Iterable[int],
         ttl_s: float,
     ) -> None:
-        expires_at = self._clock.monotonic() + ttl_s
+        """Adds ids to an entry, which is made if there is none."""
+        now = self._clock.monotonic()
         entry = entries.get(fingerprint)
-        if entry is not None:
-            entry.crash_ids.update(crash_ids)
-            entry.expires_at = max(entry.expires_at, expires_at)
-            return
-        if len(entries) >= _MAX_ENTRIES:
-            del entries[min(entries, key=lambda f: entries[f].importance)]
-        entries[fingerprint] = _Entry(set(crash_ids), expires_at)
+        if entry is None:
+            if len(entries) >= _MAX_ENTRIES:
+                del entries[min(entries, key=lambda f: entries[f].importance)]
+            entry = entries[fingerprint] = _Entry()
+        had_many = entry.has_many
+        entry.crash_ids.update(crash_ids)
+        entry.expires_at = max(entry.expires_at, now + ttl_s)
+        if entry.has_many and not had_many:
+            entry.expires_at = max(entry.expires_at, now + _BLOCK_RETENTION_S)
+            entry.probe_at = now + _PROBE_DELAYS_S[0]
 
     def merge(self, suspects: Iterable[CrashSuspect]) -> None:
         """Applies entries received from another node.
@@ -263,13 +311,13 @@
         """
         for suspect in suspects:
             fingerprint = suspect.fingerprint
-            ttl_s = min(suspect.ttl_s, _RETENTION_S)
+            ttl_s = min(suspect.ttl_s, _BLOCK_RETENTION_S)
             if not suspect.crash_ids or ttl_s <= 0:
                 continue
             if suspect.crashes:
                 self._add_crashes(fingerprint, suspect.crash_ids, ttl_s)
                 continue
-            self._add_cleared(fingerprint, suspect.crash_ids, ttl_s)
+            self._add(self._cleared, fingerprint, suspect.crash_ids, ttl_s)
             entry = self._entries.get(fingerprint)
             if entry is not None:
                 entry.crash_ids.difference_update(suspect.crash_ids)
@@ -280,8 +328,9 @@
         """Returns the entries to send to other nodes.
 
         Half of the limit goes to contents with several crashes. Cleared ones
-        follow, up to a quarter, then those with one crash. Consecutive calls
-        return the entries of each group in turn.
+        follow, up to a quarter, first those that were refused, then contents
+        with one crash. Consecutive calls return the entries of each group, and
+        the ids of each entry, in turn.
 
         Args:
             limit: Maximum number of entries to return.
@@ -296,7 +345,14 @@
         several = self._page(
             limit // 2, lambda entry: len(entry.crash_ids) > 1, self._entries
         )
-        cleared = self._page(limit // 4, lambda _: True, self._cleared)
+        cleared = self._page(
+            limit // 4, lambda entry: entry.has_many, self._cleared
+        )
+        cleared += self._page(
+            limit // 4 - len(cleared),
+            lambda entry: not entry.has_many,
+            self._cleared,
+        )
         single = self._page(
             limit - len(several) - len(cleared),
             lambda entry: len(entry.crash_ids) == 1,
@@ -324,11 +380,17 @@
         start = self._exports * size % len(group)
         return list(itertools.islice(group[start:] + group[:start], size))
 
-    @staticmethod
     def _export_entry(
-        fingerprint: int, entry: _Entry, now: float, *, is_cleared: bool = False
+        self,
+        fingerprint: int,
+        entry: _Entry,
+        now: float,
+        *,
+        is_cleared: bool = False,
     ) -> CrashSuspect:
-        crash_ids = tuple(sorted(entry.crash_ids)[:BLOCK_THRESHOLD])
+        ids = sorted(entry.crash_ids)
+        start = self._exports % len(ids) if len(ids) > BLOCK_THRESHOLD else 0
+        crash_ids = tuple((ids[start:] + ids[:start])[:BLOCK_THRESHOLD])
         return CrashSuspect(
             fingerprint,
             0 if is_cleared else len(entry.crash_ids),
--- a/packages/testing/radishtray_testing/_reference_texts.py
+++ b/packages/testing/radishtray_testing/_reference_texts.py
@@ -46,7 +46,7 @@
     RefusalReason.TOO_LARGE: ReasonAdvice(_CORRECT_REQUEST, "No node sends this reason: the listeners answer 413 without one; see `body_too_large`."),
     RefusalReason.TOO_DEEP: ReasonAdvice(_CORRECT_REQUEST, "Look for services that call each other in a circle; the limit is 32 calls."),
     RefusalReason.CANCELLED_QUEUED: ReasonAdvice("None; the caller has disconnected.", "Many of them mean that callers wait less than `deadline_ms`."),
-    RefusalReason.CRASH_SUSPECT: ReasonAdvice("Do not send this content again for 60 s.", "Find the request content that ends upstream processes; see [failures](failures.md)."),
+    RefusalReason.CRASH_SUSPECT: ReasonAdvice("Do not send this content again; a gateway refuses it for an hour after it last came.", "Find the request content that ends upstream processes; see [failures](failures.md)."),
     RefusalReason.NEVER_ARRIVED: ReasonAdvice(_RETRY_LATER, "Check the network between nodes and `radishtray_node_connections_rejected_total`."),
     RefusalReason.KEY_MISSING: ReasonAdvice(_CORRECT_REQUEST, "Tell the caller's team to send an `Idempotency-Key`."),
     RefusalReason.KEY_INVALID: ReasonAdvice(_CORRECT_REQUEST, "As `key_missing`; other UUID versions are refused."),
