Wait in a planned stop until callers have read their answers

A request counted as done once its answer was handed to the connection, and the process ended 0.1 s after the listeners had been closed, whatever was still unsent. The stop now waits, up to its deadline, until all connections of callers and of other nodes have closed, which they do after their last answer; idle ones close first. The same in the node of the own interface, whose Application ended in the same way.

Class of fault: handing over is taken for delivery.

Ruled out: the accounting of requests (entry.exchanges) is right for its other users, the count of active requests and the deadline.

The memory network can now send slowly.

--- a/packages/node/radishtray_node/_application.py
+++ b/packages/node/radishtray_node/_application.py
@@ -28,6 +28,7 @@
 from radishtray_node._slot_service import SlotService
 from radishtray_node._timers import TimerWheel
 from radishtray_node._unknown_outcomes import UnknownOutcomes
+from radishtray_node._unsent_answers import call_when_sent
 from radishtray_node._upstream_api import UpstreamApi
 from radishtray_node._upstream_server import UpstreamServer
 from radishtray_protocol import Document, wire
@@ -493,7 +494,7 @@
 
     @property
     def stopped(self) -> "Deferred[None]":
-        """Fires shortly after `close`."""
+        """Fires after `close`, once all answers have been sent."""
         return self._stopped
 
     def close(self) -> None:
@@ -509,8 +510,17 @@
         self.router.close()
         self.upstream.close()
         self._timers.close()
+        call_when_sent(
+            self._reactor,
+            self.clock,
+            lambda: self._listeners.answering_connections,
+            self._shutdown.deadline_s,
+            self._report_stopped,
+        )
+
+    def _report_stopped(self) -> None:
         _LOG.info("node stopped")
-        self._reactor.callLater(0.1, self._stopped.callback, None)
+        self._stopped.callback(None)
 
 
 def _answer_size_bytes(result: CallResult) -> int:
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -33,6 +33,7 @@
 from radishtray_node._running_request import RunningRequests
 from radishtray_node._timers import TimerWheel
 from radishtray_node._unknown_outcomes import UnknownOutcomes
+from radishtray_node._unsent_answers import call_when_sent
 from radishtray_node._upstream_reports import UpstreamReports
 from radishtray_node._upstream_server import UpstreamServer
 from radishtray_protocol import Document, RouteTable, wire
@@ -686,5 +687,19 @@
         self._router.close()
         self.upstream.close()
         self._timers.close()
+        call_when_sent(
+            self._reactor,
+            self.clock,
+            self._count_open_connections,
+            self._stop_deadline_s,
+            self._report_stopped,
+        )
+
+    def _count_open_connections(self) -> int:
+        """Returns the number of connections that may have unsent answers."""
+        callers, _, _ = self._listeners[0]
+        return callers.connection_count + self._node_listener.connection_count
+
+    def _report_stopped(self) -> None:
         _LOG.info("node stopped")
-        self._reactor.callLater(0.1, self._stopped.callback, None)
+        self._stopped.callback(None)
--- a/packages/node/radishtray_node/_listeners.py
+++ b/packages/node/radishtray_node/_listeners.py
@@ -94,6 +94,15 @@
         """TCP port for other nodes, once the listeners are open."""
         return self._node_listener.port
 
+    @property
+    def answering_connections(self) -> int:
+        """Number of open connections of callers, upstream and other nodes."""
+        return (
+            self._caller_server.connection_count
+            + self._upstream_server.connection_count
+            + self._node_listener.connection_count
+        )
+
     def start(self) -> None:
         """Opens all listeners.
 
--- a/packages/node/radishtray_node/_shutdown.py
+++ b/packages/node/radishtray_node/_shutdown.py
@@ -21,6 +21,7 @@
 
     __slots__ = (
         "_clock",
+        "_deadline_s",
         "_drained",
         "_is_idle",
         "_is_started",
@@ -48,6 +49,7 @@
         self._timeout_s = timeout_s
         self._is_idle = is_idle
         self._is_started = False
+        self._deadline_s = 0.0
         self._drained: Deferred[None] = Deferred()
 
     @property
@@ -55,6 +57,11 @@
         """Whether the shutdown has begun; new requests are then refused."""
         return self._is_started
 
+    @property
+    def deadline_s(self) -> float:
+        """Monotonic time at which the limit is reached; 0 before the start."""
+        return self._deadline_s
+
     @property
     def drained(self) -> "Deferred[None]":
         """Fires when no request is unfinished or the time limit is reached."""
@@ -63,17 +70,13 @@
     def start(self) -> None:
         """Begins to wait for unfinished requests."""
         self._is_started = True
-        deadline_s = self._clock.monotonic() + self._timeout_s
-        self._reactor.callLater(
-            _FIRST_CHECK_DELAY_S, self._check_idle, deadline_s
-        )
+        self._deadline_s = self._clock.monotonic() + self._timeout_s
+        self._reactor.callLater(_FIRST_CHECK_DELAY_S, self._check_idle)
 
-    def _check_idle(self, deadline_s: float) -> None:
+    def _check_idle(self) -> None:
         is_idle = self._is_idle()
-        if not is_idle and self._clock.monotonic() < deadline_s:
-            self._reactor.callLater(
-                _CHECK_INTERVAL_S, self._check_idle, deadline_s
-            )
+        if not is_idle and self._clock.monotonic() < self._deadline_s:
+            self._reactor.callLater(_CHECK_INTERVAL_S, self._check_idle)
             return
         if not is_idle:
             _LOG.warning(
--- a/packages/node/radishtray_node/tests/test_gateway.py
+++ b/packages/node/radishtray_node/tests/test_gateway.py
@@ -521,6 +521,44 @@
     assert fleet.gateways["n0"].stopped.called
 
 
+# Name: node that stops, bytes that the receiver of its answer reads each
+# 0.01 s, seconds after which the stop must be over.
+SLOW_READERS = {
+    "caller": ("e", 2_000, 4.5),
+    "caller_that_stops_reading": ("e", 1, 5.6),
+    "other_node": ("n0", 2_000, 4.5),
+}
+
+
+@pytest.mark.parametrize("name", SLOW_READERS)
+def test_a_planned_stop_cuts_no_answer_that_is_still_being_read(
+    name: str,
+) -> None:
+    stopping, bytes_per_flush, most_s = SLOW_READERS[name]
+    body = b"x" * 700_000
+    fleet = build_fleet(1)
+    upstream = fleet.upstreams["n0"]
+    upstream.on_run = lambda http: upstream.reactor.callLater(
+        0.1, upstream.answer, http, body
+    )
+    fleet.send("e", "/safe/1", "r0")
+    fleet.run(0.5)
+    if stopping == "e":
+        _, sender = fleet.caller_connections("e")[-1]
+    else:
+        _, sender = fleet.connections_between("e", "n0")[-1]
+    sender.max_write_some_bytes = 0
+    sender.max_flush_bytes = bytes_per_flush
+    result = fleet.send("e", "/once/", "r1", deadline_ms=5000)
+    fleet.run(0.3)
+    answered: list[int] = []
+    gateway = fleet.gateways[stopping]
+    gateway.stopped.addCallback(lambda _: answered.append(result.status))
+    gateway.drain()
+    fleet.run(most_s)
+    assert answered == [200 if bytes_per_flush > 1 else 0]
+
+
 def test_a_rolling_restart_fails_no_request() -> None:
     """Guards against a time in which no node of the service takes requests."""
     fleet = build_fleet(3)
--- a/packages/testing/radishtray_testing/memory_network.py
+++ b/packages/testing/radishtray_testing/memory_network.py
@@ -33,6 +33,7 @@
 # One idle second, and one until a probe counts as unanswered.
 _KEEP_ALIVE_S = 2.0
 _KEEP_ALIVE_STEP_S = 0.25
+_FLUSH_INTERVAL_S = 0.01
 
 
 class _HeldData:
@@ -69,6 +70,8 @@
         delay_s: One-way delay of what this end sends.
         max_write_some_bytes: Most bytes that one `writeSomeData` sends; None
             for no limit.
+        max_flush_bytes: Most bytes of the send buffer that are sent at once,
+            every 0.01 s; None for no limit.
         protocol: The protocol at this end.
         dataBuffer: Bytes that a test states to be unsent; they are not sent.
         offset: Bytes of them that have been sent.
@@ -94,6 +97,7 @@
         self.holds_back = False
         self.delay_s = 0.0
         self.max_write_some_bytes: int | None = None
+        self.max_flush_bytes: int | None = None
         self.protocol: Any = None
         self.dataBuffer = b""
         self.offset = 0
@@ -143,10 +147,14 @@
         return len(sent)
 
     def _flush(self) -> None:
-        data, self._send_buffer = self._send_buffer, b""
+        size = self.max_flush_bytes or len(self._send_buffer)
+        data = self._send_buffer[:size]
+        self._send_buffer = self._send_buffer[size:]
         if data:
             self._send(data)
-        if self.disconnecting:
+        if self._send_buffer and self.connected:
+            self._reactor.callLater(_FLUSH_INTERVAL_S, self._flush)
+        elif self.disconnecting:
             self._close(is_reset=False)
 
     def _send(self, data: bytes) -> None:
--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -392,6 +392,11 @@
         self._factory = _AcceptorFactory(self)
         self._port: IListeningPort | None = None
 
+    @property
+    def connection_count(self) -> int:
+        """The number of open connections."""
+        return len(self._connections)
+
     @property
     def port(self) -> int:
         """The TCP port of the open listener."""
