Confirm each report that may be older than a restart of the node

Only the first report after a restart was checked against the upstream's health; any second one with a higher sequence number counted as confirmation, although it may be as old as the first. Now each report that arrives within 10 s of the node's start needs a healthy answer, also one of a later process; after that a report cannot have been sent before the restart, as reports are seconds late at most.

Class of fault: two messages of the same possible age confirm each other.

Cost: an upstream whose health check fails wrongly, or is not answered, is used 10 s after a restart of its node instead of 1.5 s; a healthy one at once as before.

Ruled out: counting reports, as several may be late; the order of the reports (the sequence is checked).

--- a/packages/node/radishtray_node/_upstream_reports.py
+++ b/packages/node/radishtray_node/_upstream_reports.py
@@ -1,7 +1,7 @@
 """Applies the reports of the upstream beside a gateway.
 
-The first report after a restart of the node is confirmed by a health check, as
-it may be older than the end of the upstream.
+Reports that arrive soon after a restart of the node are confirmed by a health
+check, as they may be older than the end of the upstream.
 """
 
 import logging
@@ -21,6 +21,8 @@
 _LOG = logging.getLogger(__name__)
 _HEALTH_CHECK_TIMEOUT_S = 1.0
 _OK = 200
+# Reports may arrive seconds late.
+_MAX_REPORT_DELAY_S = 10.0
 
 
 class UpstreamReports:
@@ -31,6 +33,7 @@
         "_health_paths",
         "_instance_header",
         "_reactor",
+        "_started_s",
         "_timers",
         "_tracker",
         "_unconfirmed_report",
@@ -60,6 +63,7 @@
                 received reports.
         """
         self._reactor = reactor
+        self._started_s = reactor.seconds()
         self._timers = timers
         self._upstream = upstream
         self._forwarding = forwarding
@@ -70,7 +74,10 @@
 
     def accept(self, report: UpstreamReport) -> ReportVerdict:
         """Applies a status report."""
-        verdict = self._tracker.apply_report(report)
+        age_s = self._reactor.seconds() - self._started_s
+        verdict = self._tracker.apply_report(
+            report, may_be_late=age_s < _MAX_REPORT_DELAY_S
+        )
         if verdict is ReportVerdict.SERVING:
             self._announce(report)
         elif verdict is ReportVerdict.LEAVING:
--- a/packages/state/radishtray_state/_upstream_reports.py
+++ b/packages/state/radishtray_state/_upstream_reports.py
@@ -95,9 +95,9 @@
     process that started later replaces an earlier one. A process that has
     stated that it is leaving never serves again.
 
-    A restarted node does not know whether the upstream has left, and a report
-    from before that may arrive late. So its first report needs confirmation: by
-    a later report, or by `confirm` after other evidence.
+    A restarted node does not know whether the upstream has left, and reports
+    from before that may arrive late, several of them. Each report therefore
+    needs other evidence, for `confirm`, until one cannot be as old.
     """
 
     __slots__ = (
@@ -121,8 +121,19 @@
         self._sequence = -1
         self._has_left = False
 
-    def apply_report(self, report: UpstreamReport) -> ReportVerdict:
-        """Applies a report unless it is stale, and returns what follows."""
+    def apply_report(
+        self, report: UpstreamReport, *, may_be_late: bool = True
+    ) -> ReportVerdict:
+        """Applies a report unless it is stale.
+
+        Args:
+            report: The report.
+            may_be_late: Whether the report may have been sent before the start
+                of this node.
+
+        Returns:
+            What follows.
+        """
         if report.started_ms < self._started_ms:
             return ReportVerdict.STALE
         is_same_process = (
@@ -133,14 +144,13 @@
             return ReportVerdict.STALE
         if not is_same_process:
             self._has_left = False
-        is_first = not self._instance
         self._instance = report.instance
         self._started_ms = report.started_ms
         self._sequence = report.sequence
         self._has_left = self._has_left or report.is_leaving
         if self._has_left:
             return ReportVerdict.LEAVING
-        if self._is_unconfirmed and is_first:
+        if self._is_unconfirmed and may_be_late:
             return ReportVerdict.UNCONFIRMED
         self._is_unconfirmed = False
         return ReportVerdict.SERVING
