Bound the memory for large request bodies of a node

A request that runs at the own upstream was held twice until its answer: its encoded form was kept after it had been sent. It is now released as it is sent. And nothing bounded the bytes of all requests together. Large bodies (over 64 KB) now take memory from their arrival to the answer, 0.6 of what the platform gives the process (new setting memory_bytes); beyond that a caller's connection is not read until another upload has ended, in order, and a call of another node is refused as not run, so that its sender tries elsewhere. Large answers share the same class, now by bytes instead of places, with a sixth of the memory.

Class of fault: limits for each item, none for all of them.

Ruled out: fewer slots for uploads (slots are not bytes); refusing at once instead of waiting, as a caller would send 3 MB again.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -59,6 +59,7 @@
     HttpLimits,
     HttpRequest,
     HttpServer,
+    LargeBodyLimit,
     NodeConnection,
     NodeIdentity,
     NodeListener,
@@ -76,6 +77,10 @@
 # A request must fit into one frame between nodes, of 4 MiB.
 _MAX_BODY_BYTES = 3 * 1024 * 1024 + 512 * 1024
 _REQUEST_TIMEOUT_S = 30.0
+# Shares of the node's memory for large bodies of requests, from their arrival
+# to the answer, and for those of answers that are being read.
+_REQUEST_MEMORY_SHARE = 0.6
+_ANSWER_MEMORY_SHARE = 1 / 6
 # Connections to the upstream that were idle for longer are not reused. The
 # upstream may state a shorter limit.
 _UPSTREAM_IDLE_LIMIT_S = 5.0
@@ -120,6 +125,7 @@
         "_periodic_calls",
         "_reactor",
         "_report_handler",
+        "_request_bodies",
         "_rng",
         "_router",
         "_service_size",
@@ -180,6 +186,9 @@
         self._ended_processes = EndedProcesses()
         self._fleet_size = HeldMaximum(clock, _FLEET_SIZE_HOLD_S)
         self._service_size = HeldMaximum(clock, _FLEET_SIZE_HOLD_S)
+        self._request_bodies = LargeBodyLimit(
+            int(settings.memory_bytes * _REQUEST_MEMORY_SHARE)
+        )
         self._upstream_server, self.upstream = self._build_upstream_server()
         self._upstream_reports = UpstreamReports(
             reactor,
@@ -211,6 +220,7 @@
             self._upstream_server,
             self.metrics,
             self._on_control_frame,
+            self._request_bodies,
         )
         self._node_listener = NodeListener(
             reactor, self.identity, settings.cluster_keys, self._node_server
@@ -242,6 +252,9 @@
                 fault.value
             ).inc(),
             is_restart=not self.settings.is_first_start,
+            response_memory_bytes=int(
+                self.settings.memory_bytes * _ANSWER_MEMORY_SHARE
+            ),
         )
         server = UpstreamServer(
             self.clock,
@@ -303,6 +316,7 @@
                     name, reason
                 ).inc(),
                 may_overlap,
+                self._request_bodies,
             )
 
         callers = http("caller", self.entry.handle, self.entry.may_overlap)
--- a/packages/node/radishtray_node/_gateway_settings.py
+++ b/packages/node/radishtray_node/_gateway_settings.py
@@ -94,6 +94,7 @@
         ready_linger_s: Seconds after the start of a planned stop during which
             the node still accepts new requests.
         is_first_start: Whether no earlier process of any node has run.
+        memory_bytes: Memory that the process may take.
     """
 
     __slots__ = (
@@ -103,6 +104,7 @@
         "failure_domain",
         "headers",
         "is_first_start",
+        "memory_bytes",
         "node_id",
         "ready_linger_s",
         "repeats",
@@ -126,6 +128,7 @@
         stop_s: float,
         ready_linger_s: float,
         is_first_start: bool,
+        memory_bytes: int,
     ) -> None:
         """Validates and stores the settings.
 
@@ -141,6 +144,8 @@
             raise ValueError(
                 "ready_linger_s must be positive and less than stop_s"
             )
+        if memory_bytes <= 0:
+            raise ValueError("memory_bytes must be positive")
         self.node_id = node_id
         self.failure_domain = failure_domain
         self.service = service
@@ -153,3 +158,4 @@
         self.stop_s = stop_s
         self.ready_linger_s = ready_linger_s
         self.is_first_start = is_first_start
+        self.memory_bytes = memory_bytes
--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -35,8 +35,7 @@
 # being closed after a cancelled request.
 _SPARE_CONNECTIONS = 16
 _MAX_RESPONSE_BYTES = 2 * 1024 * 1024
-# Bounds the memory for answers that are being read to about 50 MB.
-_MAX_LARGE_RESPONSES = 24
+_DEFAULT_RESPONSE_MEMORY_BYTES = 50_000_000
 
 
 class Announcement:
@@ -228,6 +227,7 @@
         on_response_fault: Callable[[ResponseFault], None] = lambda _: None,
         *,
         is_restart: bool = False,
+        response_memory_bytes: int = _DEFAULT_RESPONSE_MEMORY_BYTES,
     ) -> None:
         """Creates the state before the first announcement.
 
@@ -247,9 +247,11 @@
                 sends.
             is_restart: Whether an earlier process of the node may have known a
                 request rate of the upstream.
+            response_memory_bytes: Memory for large responses that are being
+                read.
         """
         self._on_response_fault = on_response_fault
-        self._large_bodies = LargeBodyLimit(_MAX_LARGE_RESPONSES)
+        self._large_bodies = LargeBodyLimit(response_memory_bytes)
         self._response_rules = response_rules
         self._reactor = reactor
         self._clock = clock
--- a/packages/node/radishtray_node/_node_server.py
+++ b/packages/node/radishtray_node/_node_server.py
@@ -15,7 +15,11 @@
     ConnectionToken,
     RefusalReason,
 )
-from radishtray_transport import NodeConnection
+from radishtray_transport import (
+    FREE_BODY_BYTES,
+    LargeBodyLimit,
+    NodeConnection,
+)
 
 _LOG = logging.getLogger(__name__)
 # Memory that a kept answer takes besides its headers and body.
@@ -68,6 +72,7 @@
         "_attempt_table",
         "_connections_by_token",
         "_control_handler",
+        "_large_bodies",
         "_metrics",
         "_peers",
         "_server",
@@ -81,6 +86,7 @@
         server: UpstreamServer,
         metrics: Metrics,
         control_handler: ControlHandler,
+        large_bodies: LargeBodyLimit | None = None,
     ) -> None:
         """Creates a server without connections.
 
@@ -89,7 +95,10 @@
             server: Runs the calls on the upstream.
             metrics: Metrics of this node.
             control_handler: Receives frames that are neither calls nor queries.
+            large_bodies: Limits the memory for large bodies of calls; None for
+                no limit.
         """
+        self._large_bodies = large_bodies
         self._server = server
         self._metrics = metrics
         self._control_handler = control_handler
@@ -162,8 +171,16 @@
 
         key = peer.attempt_key(attempt_id)
 
+        if not self._take_memory(key, call):
+            result = CallResult.refused(RefusalReason.QUEUE_FULL)
+            self._server.metrics.count_refusal(RefusalReason.QUEUE_FULL)
+            self._send_answer(token, attempt_id, result, 0, call.kind)
+            return
+
         def done(result: CallResult, retries: int) -> None:
             self._unanswered_calls.pop(key, None)
+            if self._large_bodies is not None:
+                self._large_bodies.release(key)
             self._send_answer(token, attempt_id, result, retries, call.kind)
 
         def start() -> None:
@@ -173,6 +190,15 @@
 
         self._arrived_calls[key] = start
 
+    def _take_memory(self, key: _AttemptKey, call: wire.Call) -> bool:
+        """Returns whether there is memory for the body of a call."""
+        size = len(call.body)
+        return (
+            self._large_bodies is None
+            or size <= FREE_BODY_BYTES
+            or self._large_bodies.try_take(key, size)
+        )
+
     def read_finished(self, connection: NodeConnection) -> None:
         """Starts the calls that have arrived and were not cancelled."""
         arrived, self._arrived_calls = self._arrived_calls, {}
@@ -198,11 +224,14 @@
 
     def _handle_cancel(self, peer: _Peer, attempt_id: int) -> None:
         if self._attempt_table.cancel(peer.token, attempt_id):
-            if self._arrived_calls.pop(peer.attempt_key(attempt_id), None):
+            key = peer.attempt_key(attempt_id)
+            if self._arrived_calls.pop(key, None):
+                if self._large_bodies is not None:
+                    self._large_bodies.release(key)
                 result = CallResult.refused(RefusalReason.CANCELLED_QUEUED)
                 self._send_answer(peer.token, attempt_id, result, 0, "")
                 return
-            call = self._unanswered_calls.get(peer.attempt_key(attempt_id))
+            call = self._unanswered_calls.get(key)
             if call is not None:
                 call.cancel()
             return
--- a/packages/node/radishtray_node/tests/test_reported_faults.py
+++ b/packages/node/radishtray_node/tests/test_reported_faults.py
@@ -403,3 +403,78 @@
     assert {result.status for result in faulty} <= {502, 504}
     assert {result.status for result in served} == {200}
     assert not fleet.upstream_connections("n0")[len(served) :]
+
+
+UPLOAD_BYTES = 1_000_000
+NODE_MEMORY_BYTES = 10_000_000
+
+
+def build_upload_fleet(**memory: int) -> GatewayFleet:
+    """Starts entry `e` and node `n0`, whose upstream takes 0.2 s."""
+    fleet = GatewayFleet(LONG_TABLE)
+    for name, service in (("e", "x"), ("n0", "s")):
+        limit = {"memory_bytes": memory[name]} if name in memory else {}
+        fleet.add(name, service, slots=64, **limit)
+    upstream = fleet.upstreams["n0"]
+    upstream.on_run = lambda http: upstream.reactor.callLater(
+        0.2, upstream.answer, http
+    )
+    fleet.run(3)
+    return fleet
+
+
+def send_uploads(fleet: GatewayFleet, count: int) -> list[Any]:
+    """Sends uploads, each slowly over a connection of its own."""
+    caller = fleet.open_caller("e", count)
+    small = [
+        fleet.send("e", "/once/small", f"s{n}", caller=caller)
+        for n in range(count)
+    ]
+    fleet.run(0.5)
+    assert [result.status for result in small] == [200] * count
+    for client_end, _ in fleet.caller_connections("e"):
+        client_end.max_write_some_bytes = 0
+        client_end.max_flush_bytes = 32_768
+    return [
+        fleet.send(
+            "e",
+            "/once/upload",
+            f"u{n}",
+            method="POST",
+            body=bytes(UPLOAD_BYTES),
+            deadline_ms=20_000,
+            caller=caller,
+        )
+        for n in range(count)
+    ]
+
+
+def test_many_uploads_leave_the_entry_node_its_memory() -> None:
+    fleet = build_upload_fleet(e=NODE_MEMORY_BYTES)
+    results = send_uploads(fleet, 30)
+    most_held = 0
+    while not all(result.status for result in results):
+        fleet.run(0.02)
+        assert fleet.network.seconds() < 25
+        held = sum(
+            server_end.protocol.held_bytes
+            for _, server_end in fleet.caller_connections("e")
+        )
+        most_held = max(most_held, held)
+    assert [result.status for result in results] == [200] * 30
+    assert most_held < NODE_MEMORY_BYTES
+
+
+def test_uploads_of_other_nodes_beyond_the_memory_are_refused_as_not_run() -> (
+    None
+):
+    fleet = build_upload_fleet(n0=NODE_MEMORY_BYTES)
+    results = send_uploads(fleet, 30)
+    fleet.run(8)
+    statuses = [result.status for result in results]
+    runs = [runs_of(fleet, f"u{n}") for n in range(30)]
+    assert set(statuses) == {200, 503}
+    assert runs == [int(status == 200) for status in statuses]
+    assert fleet.send("e", "/once/later", "later").status == 0
+    fleet.run(1)
+    assert fleet.gateways["n0"]._request_bodies.used_bytes == 0
--- a/packages/testing/radishtray_testing/gateway_builders.py
+++ b/packages/testing/radishtray_testing/gateway_builders.py
@@ -215,6 +215,7 @@
         "headers": HEADER_NAMES,
         "configuration_object": ROUTES_OBJECT,
         "is_first_start": True,
+        "memory_bytes": 300 * 1024 * 1024,
         "stop_s": 5.0,
         "ready_linger_s": 0.5,
     }
--- a/packages/transport/radishtray_transport/__init__.py
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -22,7 +22,7 @@
 )
 from radishtray_transport._http_request import HttpLimits, HttpRequest
 from radishtray_transport._http_server import HttpServer
-from radishtray_transport._large_bodies import LargeBodyLimit
+from radishtray_transport._large_bodies import FREE_BODY_BYTES, LargeBodyLimit
 from radishtray_transport._node_connection import (
     ConnectionEvents,
     NodeConnection,
@@ -47,6 +47,7 @@
 
 __all__ = [
     "ABSENT_VERSION",
+    "FREE_BODY_BYTES",
     "MAX_DATAGRAM_BYTES",
     "Conflict",
     "ConnectionEvents",
--- a/packages/transport/radishtray_transport/_http_channel.py
+++ b/packages/transport/radishtray_transport/_http_channel.py
@@ -17,6 +17,7 @@
 from radishtray_transport._body_buffer import BodyBuffer
 from radishtray_transport._direct_writer import DirectWriter
 from radishtray_transport._http_request import HttpLimits, HttpRequest
+from radishtray_transport._large_bodies import FREE_BODY_BYTES, LargeBodyLimit
 
 _LOG = logging.getLogger(__name__)
 _BAD_REQUEST = b"400 Bad Request"
@@ -42,6 +43,8 @@
         handler: Called with each complete request.
         may_overlap: Whether a request may be handled while others on its
             connection that may do so as well have no response yet.
+        large_bodies: Limits the memory for large bodies of requests, from their
+            arrival until the response; None for no limit.
         on_rejected: Called with the reason for each rejected request.
     """
 
@@ -49,6 +52,7 @@
     limits: HttpLimits
     handler: Callable[[HttpRequest], None]
     may_overlap: Callable[[HttpRequest], bool]
+    large_bodies: LargeBodyLimit | None
     on_rejected: Callable[[str], None]
 
     def channel_opened(self, channel: "HttpChannel") -> None:
@@ -90,6 +94,7 @@
         self._is_closing = False
         self._is_dispatching = False
         self._is_reading_paused = False
+        self._waits_for_memory = False
         self._pending_rejection: tuple[bytes, str] | None = None
         self._is_closed = False
         self._request_started_s: float | None = None
@@ -208,6 +213,12 @@
         ):
             self._reject(_BAD_REQUEST, "malformed_request")
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the bodies of requests without a response."""
+        requests = (*self._active_requests, *self._queued_requests)
+        return self._body.size + sum(len(r.body) for r in requests)
+
     @property
     def _is_busy(self) -> bool:
         return bool(self._active_requests or self._queued_requests)
@@ -223,6 +234,29 @@
             self._body.clear()
         else:
             self._body.append(part)
+            if self._body.size > FREE_BODY_BYTES and not request.is_large:
+                self._take_memory(request)
+
+    def _take_memory(self, request: HttpRequest) -> None:
+        """Stops reading unless there is memory for the body of a request."""
+        request.is_large = True
+        limit = self._owner.large_bodies
+        if limit is None:
+            return
+        length = request.header(b"content-length")
+        size = self.limits.body_bytes if length is None else int(length)
+        self._waits_for_memory = not limit.take_or_wait(
+            request, size, self._resume_after_wait
+        )
+
+    def _resume_after_wait(self) -> None:
+        self._waits_for_memory = False
+        if not self._is_closed:
+            self._pause_or_resume_reading()
+
+    def _release_memory(self, request: HttpRequest) -> None:
+        if request.is_large and self._owner.large_bodies is not None:
+            self._owner.large_bodies.release(request)
 
     def on_message_complete(self) -> None:
         """Queues the request, which is dispatched after the parser returns."""
@@ -291,12 +325,17 @@
         return not request.is_too_large and self._owner.may_overlap(request)
 
     def _pause_or_resume_reading(self) -> None:
-        queue_is_full = len(self._queued_requests) >= _MAX_PIPELINED_REQUESTS
-        if queue_is_full and not self._is_reading_paused:
+        must_pause = (
+            self._waits_for_memory
+            or len(self._queued_requests) >= _MAX_PIPELINED_REQUESTS
+        )
+        if must_pause == self._is_reading_paused:
+            return
+        self._is_reading_paused = must_pause
+        if must_pause:
             self.transport.pauseProducing()
-        elif self._is_reading_paused and not queue_is_full:
+        else:
             self.transport.resumeProducing()
-        self._is_reading_paused = queue_is_full
 
     def response_ready(self) -> None:
         """Sends the responses whose turn it is; then closes or dispatches."""
@@ -327,6 +366,7 @@
         ):
             request.is_persistent = False
         request.channel = None
+        self._release_memory(request)
         self.writer.write(request.take_response())
         if not request.is_persistent:
             self._close()
@@ -340,10 +380,17 @@
         if self._pending_rejection is None:
             self._pending_rejection = (status, reason)
         self._parser = None
-        self._incoming_request = None
+        self._drop_incoming_request()
         self._is_parsing_head = False
         self._request_started_s = None
 
+    def _drop_incoming_request(self) -> None:
+        request = self._incoming_request
+        self._incoming_request = None
+        if request is not None:
+            self._waits_for_memory = False
+            self._release_memory(request)
+
     def _send_rejection(self) -> None:
         if self._is_closed or self._pending_rejection is None:
             return
@@ -416,7 +463,7 @@
         self._is_closing = True
         if self._is_busy:
             self._parser = None
-            self._incoming_request = None
+            self._drop_incoming_request()
             self._request_started_s = None
         elif self._incoming_request is None:
             self._close()
@@ -424,6 +471,8 @@
     def _close(self) -> None:
         self._is_closed = True
         self._parser = None
+        for request in self._queued_requests:
+            self._release_memory(request)
         self._queued_requests.clear()
         if self._unread_since_s is None:
             self._unread_since_s = self._owner.reactor.seconds()
@@ -436,8 +485,10 @@
         self._is_closed = True
         self._parser = None
         self._owner.channel_closed(self)
+        self._drop_incoming_request()
         unanswered = [*self._active_requests, *self._queued_requests]
         self._active_requests.clear()
         self._queued_requests.clear()
         for request in unanswered:
+            self._release_memory(request)
             request.notify_disconnect()
--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -46,7 +46,7 @@
     already sent.
 
     Attributes:
-        large_bodies: Limits how many large bodies are read at the same time;
+        large_bodies: Limits the memory for large bodies that are being read;
             None for no limit.
         max_body_bytes: Maximum size of a response body.
         max_connections: Maximum number of open connections; a lower one does
@@ -100,8 +100,8 @@
             on_fault: Called with each fault in what the server sends.
             uses_keep_alive: Whether connections on which the server has fallen
                 silent are ended.
-            large_bodies: Limits how many large bodies are read at the same
-                time; None for no limit.
+            large_bodies: Limits the memory for large bodies that are being
+                read; None for no limit.
         """
         self.large_bodies = large_bodies
         self.uses_keep_alive = uses_keep_alive
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -59,7 +59,7 @@
     Attributes:
         max_body_bytes: Maximum size of a response body.
         rules: How responses are read.
-        large_bodies: Limits how many large bodies are read at the same time;
+        large_bodies: Limits the memory for large bodies that are being read;
             None for no limit.
         uses_keep_alive: Whether silent connections are to be ended.
     """
@@ -170,7 +170,7 @@
         self._pending = pending
         pending.attach(self)
         self._remember_id(pending.expected_request_id)
-        self._writer.write(pending.data)
+        self._writer.write(pending.take_data())
 
     def _remember_id(self, request_id: str) -> None:
         if not request_id:
@@ -346,10 +346,11 @@
             self._begin_large_body()
 
     def _begin_large_body(self) -> None:
-        """Stops reading unless the limit of large bodies allows another."""
+        """Stops reading unless there is memory for another large body."""
         self._has_large_body = True
-        if self._large_bodies is not None and not self._large_bodies.enter(
-            self, self._resume_reading
+        limit = self._large_bodies
+        if limit is not None and not limit.take_or_wait(
+            self, self._max_body_bytes, self._resume_reading
         ):
             self._is_reading_paused = True
             self.transport.pauseProducing()
@@ -363,7 +364,7 @@
         """Lets another large body be read, if this response had one."""
         if self._has_large_body and self._large_bodies is not None:
             self._has_large_body = False
-            self._large_bodies.leave(self)
+            self._large_bodies.release(self)
             self._resume_reading()
 
     def on_message_complete(self) -> None:
--- a/packages/transport/radishtray_transport/_http_exchange.py
+++ b/packages/transport/radishtray_transport/_http_exchange.py
@@ -137,7 +137,6 @@
     first; later ones are ignored.
 
     Attributes:
-        data: The complete encoded request.
         expected_request_id: Request id that the response must repeat if the
             rules name a header for it; empty accepts any.
         is_head_request: Whether the method is HEAD, so that the response has
@@ -146,9 +145,9 @@
 
     __slots__ = (
         "_connection",
+        "_data",
         "_on_failure",
         "_on_response",
-        "data",
         "expected_request_id",
         "is_head_request",
     )
@@ -173,7 +172,7 @@
                 the rules name a header for it; empty accepts any.
         """
         self.expected_request_id = expected_request_id
-        self.data = data
+        self._data = data
         self.is_head_request = is_head_request
         self._on_response: ResponseCallback | None = on_response
         self._on_failure: FailureCallback | None = on_failure
@@ -193,6 +192,11 @@
         """Sets the connection that carries the request."""
         self._connection = connection
 
+    def take_data(self) -> bytes:
+        """Returns the encoded request and keeps no copy of it."""
+        data, self._data = self._data, b""
+        return data
+
     def succeed(self, response: HttpResponse) -> None:
         """Reports the response unless the request is settled."""
         callback = self._on_response
--- a/packages/transport/radishtray_transport/_http_request.py
+++ b/packages/transport/radishtray_transport/_http_request.py
@@ -82,6 +82,7 @@
             so far.
         trailer_count: Number of trailers, which are not part of `headers`.
         is_persistent: Whether the connection stays open after the response.
+        is_large: Whether the body counts toward the memory for large bodies.
         is_too_large: Whether the body exceeds the limit.
         received_s: Time of the reactor at which the request was complete.
         waited_s: Seconds for which it waited for requests before it.
@@ -94,6 +95,7 @@
         "channel",
         "head_bytes",
         "headers",
+        "is_large",
         "is_persistent",
         "is_too_large",
         "method",
@@ -115,6 +117,7 @@
         self.head_bytes = 0
         self.trailer_count = 0
         self.is_persistent = True
+        self.is_large = False
         self.is_too_large = False
         self.received_s = 0.0
         self.waited_s = 0.0
--- a/packages/transport/radishtray_transport/_http_server.py
+++ b/packages/transport/radishtray_transport/_http_server.py
@@ -8,6 +8,7 @@
 
 from radishtray_transport._http_channel import HttpChannel
 from radishtray_transport._http_request import HttpLimits, HttpRequest
+from radishtray_transport._large_bodies import LargeBodyLimit
 
 _TIMEOUT_CHECK_INTERVAL_S = 1.0
 _LISTEN_BACKLOG = 1024
@@ -24,6 +25,8 @@
             others of which this is true as well.
         on_rejected: Called with the reason for each rejected request or
             connection.
+        large_bodies: Limits the memory for large bodies of requests; None for
+            no limit.
     """
 
     __slots__ = (
@@ -32,6 +35,7 @@
         "_port",
         "_timeout_check",
         "handler",
+        "large_bodies",
         "limits",
         "may_overlap",
         "on_rejected",
@@ -45,8 +49,10 @@
         limits: HttpLimits,
         on_rejected: Callable[[str], None] = lambda _: None,
         may_overlap: Callable[[HttpRequest], bool] = lambda _: False,
+        large_bodies: LargeBodyLimit | None = None,
     ) -> None:
         """Configures a listener; `start` opens it."""
+        self.large_bodies = large_bodies
         self.reactor = reactor
         self.handler = handler
         self.may_overlap = may_overlap
--- a/packages/transport/radishtray_transport/tests/test_endless_answers.py
+++ b/packages/transport/radishtray_transport/tests/test_endless_answers.py
@@ -299,7 +299,7 @@
 
 
 def test_large_answers_are_all_delivered_if_few_are_read_at_a_time() -> None:
-    limit = LargeBodyLimit(2)
+    limit = LargeBodyLimit(2 * _MAX_BODY_BYTES)
     pair = ClientServerPair(
         8, max_body_bytes=_MAX_BODY_BYTES, large_bodies=limit
     )
@@ -323,4 +323,4 @@
         held = max(held, sum(end.protocol.held_bytes for end, _ in ends))
     assert sorted(pair.results) == bodies
     assert held <= 2 * 90_000 + 6 * (FREE_BODY_BYTES + _MEASURED_BYTES)
-    assert limit.readers == 0
+    assert limit.used_bytes == 0
--- a/packages/transport/radishtray_transport/tests/test_large_bodies.py
+++ b/packages/transport/radishtray_transport/tests/test_large_bodies.py
@@ -1,49 +1,69 @@
 """Guards against memory for bodies that grows with the open connections."""
 
+from collections.abc import Callable
+
 import pytest
 
 from radishtray_transport import LargeBodyLimit
 
 
 class Readers:
-    """Readers of large bodies, numbered from 0."""
+    """Readers of bodies, numbered from 0, of which 10 bytes are held at most.
+
+    Attributes:
+        limit: The limit.
+        reading: Readers in the order in which they were given memory.
+    """
 
-    def __init__(self, places: int, count: int) -> None:
-        """Has all readers ask for a place, in their order."""
-        self.limit = LargeBodyLimit(places)
+    def __init__(self, *sizes: int) -> None:
+        """Has the readers ask for so many bytes, in their order."""
+        self.limit = LargeBodyLimit(10)
         self.reading: list[int] = []
-        for number in range(count):
-            self.enter(number)
+        for number, size in enumerate(sizes):
+            if self.limit.take_or_wait(number, size, self._resumer(number)):
+                self.reading.append(number)
 
-    def enter(self, number: int) -> None:
-        if self.limit.enter(number, lambda: self.reading.append(number)):
-            self.reading.append(number)
+    def _resumer(self, number: int) -> Callable[[], None]:
+        return lambda: self.reading.append(number)
 
 
-def test_readers_without_a_place_wait_in_their_order() -> None:
-    readers = Readers(2, 5)
-    assert readers.reading == [0, 1]
-    readers.limit.leave(1)
-    readers.limit.leave(0)
-    assert readers.reading == [0, 1, 2, 3]
-    assert readers.limit.readers == 2
+# Name: sizes of the bodies, readers that end, readers that were given memory.
+CASES = {
+    "all_fit": ((5, 5), [], [0, 1]),
+    "one_waits": ((5, 5, 5), [], [0, 1]),
+    "a_small_one_does_not_overtake": ((5, 6, 1), [], [0]),
+    "in_order": ((5, 5, 5, 5, 5), [1, 0], [0, 1, 2, 3]),
+    "several_after_a_large_one": ((10, 3, 3, 3, 3), [0], [0, 1, 2, 3]),
+    "the_waiting_one_ends": ((10, 5, 5), [1, 0], [0, 2]),
+    "the_first_waiting_one_ends": ((5, 6, 5), [1], [0, 2]),
+    "ends_twice": ((10, 5, 6), [0, 0], [0, 1]),
+    "larger_than_the_limit": ((12, 1), [0], [0, 1]),
+    "larger_than_the_limit_waits": ((1, 12), [0], [0, 1]),
+}
 
 
-def test_a_reader_that_no_longer_waits_gets_no_place() -> None:
-    readers = Readers(1, 3)
-    readers.limit.leave(1)
-    readers.limit.leave(0)
-    assert readers.reading == [0, 2]
+@pytest.mark.parametrize("name", CASES)
+def test_bodies_that_do_not_fit_wait_in_their_order(name: str) -> None:
+    sizes, ended, reading = CASES[name]
+    readers = Readers(*sizes)
+    for number in ended:
+        readers.limit.release(number)
+    assert readers.reading == reading
+    held = sum(sizes[number] for number in set(reading) - set(ended))
+    assert readers.limit.used_bytes == held
 
 
-def test_a_reader_enters_and_leaves_once() -> None:
-    readers = Readers(1, 1)
-    assert readers.limit.enter(0, lambda: None)
-    readers.limit.leave(0)
-    readers.limit.leave(0)
-    assert readers.limit.readers == 0
+def test_a_body_that_cannot_wait_is_not_taken_beyond_the_limit() -> None:
+    limit = LargeBodyLimit(10)
+    assert [limit.try_take(number, 4) for number in range(3)] == [
+        True,
+        True,
+        False,
+    ]
+    limit.release(0)
+    assert limit.try_take(2, 4)
 
 
-def test_there_must_be_a_place() -> None:
+def test_the_limit_must_be_positive() -> None:
     with pytest.raises(ValueError, match="0 is not a positive number"):
         LargeBodyLimit(0)
