Retract the crash of a node that only refused a connection

A connection can be refused on the way to a node that runs on (a cut that refuses). The crash that this counts for was only retracted by a later process of the node, so that it stood for ten minutes. A handshake with the same incarnation now retracts it.

Before: no test; test_a_node_that_refused_a_connection_and_runs_on_has_not_crashed fails without the callback. After: it passes.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -438,11 +438,22 @@
         for crash_id in self._ended_processes.announce(
             member.node_id, member.incarnation, member.upstream_digest
         ):
-            changed = self.crash_tally.retract(crash_id)
-            _LOG.info(
-                "upstream has survived the end of its node; retracting a crash",
-                extra={"peer": member.node_id, "contents": len(changed)},
-            )
+            self._retract_crash(crash_id, member.node_id)
+
+    def _on_peer_verified(self, node_id: str, incarnation: int) -> None:
+        """Retracts the crash of a process that has not ended."""
+        crash_id = self._ended_processes.disprove(node_id, incarnation)
+        if crash_id is not None:
+            self._retract_crash(crash_id, node_id)
+
+    def _retract_crash(self, crash_id: int, node_id: str) -> None:
+        changed = self.crash_tally.retract(crash_id)
+        _LOG.info(
+            "upstream has survived what was counted as its crash; retracting",
+            extra={"peer": node_id, "contents": len(changed)},
+        )
+        member = self.fleet.membership.get(node_id)
+        if member is not None:
             self._send_crashes(changed, member.service_name)
 
     def send_control(self, node_id: str, frame: wire.Frame) -> bool:
@@ -481,7 +492,7 @@
             self.attempt_sequence,
             self.settings.cluster_keys,
             lambda frame: self._on_control_reply(node_id, frame),
-            lambda _node_id, _incarnation: None,
+            self._on_peer_verified,
             lambda reason: self.metrics.rejected_connections.labels(
                 reason
             ).inc(),
--- a/packages/node/radishtray_node/tests/test_crashing_requests.py
+++ b/packages/node/radishtray_node/tests/test_crashing_requests.py
@@ -210,6 +210,28 @@
     assert result.status == 200
 
 
+def test_a_node_that_refused_a_connection_and_runs_on_has_not_crashed() -> None:
+    fleet = GatewayFleet(
+        build_route_table(build_route("one", "s", timeout_s=6.0))
+    )
+    fleet.add("e", "x")
+    fleet.add("a", "s", slots=SLOTS)
+    fleet.upstreams["a"].on_run = lambda http: None
+    fleet.run(5)
+    fleet.send("e", "/one/popular", "r1", deadline_ms=5000)
+    fleet.run(0.5)
+    listeners = fleet.network.listener_factories
+    listener = listeners.pop(fleet.node_port("a"))
+    fleet.connections_between("e", "a")[-1][0].break_connection()
+    fleet.run(0.3)
+    tally = fleet.gateways["e"].crash_tally
+    assert len(tally) == 1
+    listeners[fleet.node_port("a")] = listener
+    fleet.send("e", "/one/other", "r2", deadline_ms=5000)
+    fleet.run(0.5)
+    assert len(tally) == 0
+
+
 def test_a_crashing_request_that_comes_again_for_minutes_stays_stopped() -> (
     None
 ):
--- a/packages/state/radishtray_state/_ended_processes.py
+++ b/packages/state/radishtray_state/_ended_processes.py
@@ -105,3 +105,15 @@
         if not later:
             node.crash_ids[incarnation] = crash_id
         return crash_id
+
+    def disprove(self, node_id: str, incarnation: int) -> int | None:
+        """Returns the crash id of a process that turns out to be running.
+
+        A connection may also be refused on the way to a node.
+
+        Args:
+            node_id: Id of the node.
+            incarnation: Incarnation of its process.
+        """
+        node = self._nodes.get(node_id)
+        return None if node is None else node.crash_ids.pop(incarnation, None)
--- a/packages/state/radishtray_state/tests/test_ended_processes.py
+++ b/packages/state/radishtray_state/tests/test_ended_processes.py
@@ -89,6 +89,17 @@
     assert retracted == ([crash_id] if is_retracted else [])
 
 
+def test_a_process_that_runs_on_has_not_ended() -> None:
+    processes = EndedProcesses()
+    processes.announce("n", FIRST, UPSTREAM)
+    crash_id = processes.record("n", FIRST)
+    assert crash_id is not None
+    assert processes.disprove("n", SECOND) is None
+    assert processes.disprove("n", FIRST) == crash_id
+    assert processes.disprove("n", FIRST) is None
+    assert processes.disprove("other", FIRST) is None
+
+
 def test_the_record_is_bounded() -> None:
     processes = EndedProcesses()
     for number in range(5000):
