Read on after a body that has ended while it waited for memory

A body of a little over 64 KB may end in the read in which it would have to wait for memory. Its request was handled, but the connection was not read again. Before: test_a_body_that_ends_while_it_waits_for_memory_does_not_stop_reading fails (one of two answers). After: it passes.

--- a/packages/transport/radishtray_transport/_http_channel.py
+++ b/packages/transport/radishtray_transport/_http_channel.py
@@ -263,6 +263,8 @@
         request = self._incoming_request
         self._incoming_request = None
         self._request_started_s = None
+        # The end of a body may arrive before there is memory for it.
+        self._waits_for_memory = False
         if request is None:
             return
         request.body = self._body.take()
--- a/packages/transport/radishtray_transport/tests/test_http_server.py
+++ b/packages/transport/radishtray_transport/tests/test_http_server.py
@@ -11,7 +11,12 @@
 from hypothesis import strategies as st
 
 from radishtray_testing.memory_network import MemoryNetwork, RawConnection
-from radishtray_transport import HttpLimits, HttpRequest, HttpServer
+from radishtray_transport import (
+    HttpLimits,
+    HttpRequest,
+    HttpServer,
+    LargeBodyLimit,
+)
 from radishtray_transport.tests.answer_builders import held_bytes
 
 LIMITS = HttpLimits(
@@ -676,3 +681,29 @@
     assert not connection.is_closed
     harness.network.run(LIMITS.request_s * 2)
     assert connection.is_closed
+
+
+def test_a_body_that_ends_while_it_waits_for_memory_does_not_stop_reading() -> (
+    None
+):
+    network = MemoryNetwork()
+    requests: list[HttpRequest] = []
+    limit = LargeBodyLimit(100_000)
+    server = HttpServer(
+        network,
+        requests.append,
+        HttpLimits(body_bytes=200_000),
+        large_bodies=limit,
+    )
+    server.start("127.0.0.1", 0)
+    holder, client = (network.open_connection(server.port) for _ in range(2))
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n"
+    for connection in (holder, client, client):
+        for part in (head + bytes(60_000), bytes(10_000)):
+            connection.transport.write(part)
+            network.run(0.1)
+        if connection is client:
+            requests[-1].respond(200, [], b"")
+            network.run(0.1)
+    assert client.received.count(b"200 OK") == 2
+    assert limit.used_bytes == 70_000
