Tests: exact number of health checks after a restart; no bound from a measured figure

The number of health checks after a restart of a node was exactly one and had become at most one for each report; it is now exactly one for each report that may be late. The check that few nodes still watch had a bound taken from what had been seen (two more than the watchers); that more than half of the nodes pull says what it is for, and the sets are compared exactly as before.

--- a/packages/coordination/radishtray_coordination/tests/test_route_configuration.py
+++ b/packages/coordination/radishtray_coordination/tests/test_route_configuration.py
@@ -168,7 +168,7 @@
     cluster.publish_routes(2)
     cluster.run(APPLY_S)
     assert first_asked == cluster.nodes.keys() - watching
-    assert len(watching) <= WATCHERS + 2
+    assert len(first_asked) > NODES // 2
     assert cluster.generations() == {2}
 
 
--- a/packages/node/radishtray_node/tests/test_reported_faults.py
+++ b/packages/node/radishtray_node/tests/test_reported_faults.py
@@ -255,7 +255,9 @@
             used_at_s = elapsed_s
     assert used_at_s is not None
     assert least_s <= used_at_s <= most_s
-    assert upstream.health_checks <= reports
+    # Each report is checked while it may be late, a healthy one only once.
+    late_reports = sum(1.5 * number < 10.0 for number in range(reports))
+    assert upstream.health_checks == late_reports
 
 
 @pytest.mark.parametrize("late_reports", [1, 2, 4])
