Log when a version was announced and how long a pull waited

Without these fields a late version reads the same whether the announcement or the content was late: a failed pull is logged when it ends, not when it began, and its error was a traceback. 'configuration applied' now states the time since the first announcement and the number of pulls without an answer; a failed pull states how long it waited.

--- a/packages/coordination/radishtray_coordination/_route_configuration.py
+++ b/packages/coordination/radishtray_coordination/_route_configuration.py
@@ -12,6 +12,7 @@
 from expression import Result
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
 
 from radishtray_coordination._background import BackgroundTask
 from radishtray_coordination._backoff import Backoff
@@ -58,6 +59,7 @@
 _TOLD_PER_OTHER_DOMAIN = 3
 # Pulls that fail in a row before a node reads the platform itself.
 _MAX_FAILED_PULLS = 3
+_MS_PER_S = 1000
 
 RouteTableDecoder = Callable[[bytes], Result[RouteTable, Any]]
 """Decodes the value of the platform object; the error has the findings."""
@@ -75,6 +77,7 @@
     """
 
     __slots__ = (
+        "_announced_at_s",
         "_backoff",
         "_decode",
         "_election",
@@ -135,6 +138,8 @@
         self._on_table = on_table
         self._table: RouteTable | None = None
         self._peer_generations: dict[str, int] = {}
+        # When a version newer than the own one was first announced.
+        self._announced_at_s: float | None = None
         self._pulls: dict[str, float] = {}
         self._failed_pulls = 0
         self._version: int | None = None
@@ -274,6 +279,7 @@
         if table.version <= self.generation:
             return
         previous_generation = self.generation
+        announced_at_s, self._announced_at_s = self._announced_at_s, None
         self._table = table
         self._on_table(table)
         self._send(self._membership.set_generation(table.version))
@@ -284,10 +290,17 @@
                 "version": table.version,
                 "before": previous_generation,
                 "source": "platform" if source_domain is None else "peer",
+                "announced_ms_ago": None
+                if announced_at_s is None
+                else self._elapsed_ms(announced_at_s),
+                "pulls": len(self._pulls),
                 "routes": len(table.routes),
             },
         )
 
+    def _elapsed_ms(self, since_s: float) -> int:
+        return round((self._reactor.seconds() - since_s) * _MS_PER_S)
+
     def _announce(self, source_domain: str | None) -> None:
         """Tells other members the generation in force.
 
@@ -311,6 +324,8 @@
     def handle_peer_generation(self, node_id: str, generation: int) -> None:
         """Handles the generation in a peer's gossip; pulls a newer one."""
         if generation > self.generation:
+            if self._announced_at_s is None:
+                self._announced_at_s = self._reactor.seconds()
             self._peer_generations[node_id] = generation
             self._start_next_pull()
 
@@ -374,12 +389,16 @@
                 self._adopt(decoded.ok, peer.failure_domain if peer else "")
         self._start_next_pull()
 
-    def _handle_pull_failure(self, reason: object, node_id: str) -> None:
-        self._pulls.pop(node_id, None)
+    def _handle_pull_failure(self, reason: Failure, node_id: str) -> None:
+        started_s = self._pulls.pop(node_id)
         self._failed_pulls += 1
         _LOG.info(
             "configuration pull from a peer failed; retrying",
-            extra={"peer": node_id, "error": str(reason)},
+            extra={
+                "peer": node_id,
+                "error": reason.getErrorMessage(),
+                "waited_ms": self._elapsed_ms(started_s),
+            },
         )
         self._reactor.callLater(_PULL_RETRY_DELAY_S, self._start_next_pull)
 
