Pull the configuration over connections of their own

Cause: a pull went over the connection that calls use, and kept one of three places until its answer or 3 s. Connections fall silent without notice, and an idle one is not checked. Every late node in the log had begun with three pulls over silent links within 0.8 s, and then could start no other until 3.0 s. Class: content that is due within a bound waits on a path for which there is no evidence, with a timeout above the bound.

Ruled out by the same log: late watchers (the first one had each version within 35 ms; silent connections to the store end after 2.0 s) and lost announcements (the late nodes began to pull 0 to 10 ms after the first watcher announced).

Each pull now opens a connection, which no calls use and which fences none (epoch 0).

--- a/packages/coordination/radishtray_coordination/_route_configuration.py
+++ b/packages/coordination/radishtray_coordination/_route_configuration.py
@@ -299,7 +299,7 @@
         )
 
     def _elapsed_ms(self, since_s: float) -> int:
-        return round((self._reactor.seconds() - since_s) * _MS_PER_S)
+        return round(float(self._reactor.seconds() - since_s) * _MS_PER_S)
 
     def _announce(self, source_domain: str | None) -> None:
         """Tells other members the generation in force.
--- a/packages/node/radishtray_node/_control_frames.py
+++ b/packages/node/radishtray_node/_control_frames.py
@@ -60,5 +60,3 @@
             self._slot_service.receive_records_ack(
                 node_id, frame.key_records_ack
             )
-        elif frame.release_push is not None:
-            self._get_fleet().receive_release_push(node_id, frame.release_push)
--- a/packages/node/radishtray_node/_fleet.py
+++ b/packages/node/radishtray_node/_fleet.py
@@ -1,7 +1,7 @@
 """Membership, configuration and crash suspects, as exchanged by the nodes.
 
-Membership is gossiped over UDP. Nodes pull newer configurations from each other
-over their call connections.
+Membership is gossiped over UDP. Nodes pull newer configurations from each
+other.
 """
 
 import logging
@@ -19,6 +19,7 @@
     SectionCollector,
     WatchableStore,
 )
+from radishtray_node._pull_client import PullClient
 from radishtray_protocol import (
     ClusterKeys,
     Document,
@@ -44,7 +45,6 @@
 from radishtray_transport import GossipSocket, NodeIdentity
 
 _LOG = logging.getLogger(__name__)
-_PULL_TIMEOUT_S = 3.0
 _SUSPECTS_INTERVAL_S = 0.5
 _MS_PER_S = 1000
 # Members of each other failure domain that are told of a change directly.
@@ -86,10 +86,6 @@
         """Called when a node's process has announced its upstream."""
         ...
 
-    def send_control(self, node_id: str, frame: wire.Frame) -> bool:
-        """Sends a control frame; False if the node has no address."""
-        ...
-
 
 class ConfigurationSource(Protocol):
     """Obtains the configuration and serves it to other nodes.
@@ -143,7 +139,7 @@
         "_is_superseded",
         "_membership_driver",
         "_parsed_sections",
-        "_pending_pulls",
+        "_pull_client",
         "_reactor",
         "_section_collector",
         "_socket",
@@ -194,7 +190,7 @@
         self._suspects = suspects
         self._is_superseded = False
         self._parsed_sections: dict[str, tuple[str, ParsedSource]] = {}
-        self._pending_pulls: dict[str, Deferred[wire.ReleasePush]] = {}
+        self._pull_client = PullClient(reactor, identity, keys)
         self._socket = GossipSocket(keys, self._on_gossip_message)
         self._socket.start(reactor, gossip_host, gossip_port)
         own = MemberRecord(
@@ -302,6 +298,7 @@
         if self._section_collector is not None:
             self._section_collector.close()
         self._configuration.close()
+        self._pull_client.close()
         self._membership_driver.close()
         self._socket.close()
 
@@ -384,8 +381,7 @@
         member = self.membership.get(node_id)
         if member is None or not member.is_live:
             return None
-        host, _, port = member.node_address.rpartition(":")
-        return host, int(port)
+        return _listener_address(member)
 
     def is_alive(self, owner: SlotOwner) -> bool:
         """Returns whether a process is a live member in this node's view."""
@@ -438,16 +434,9 @@
     def _pull_release(
         self, member: MemberRecord, have_generation: int
     ) -> "Deferred[wire.ReleasePush]":
-        reply: Deferred[wire.ReleasePush] = Deferred()
-        frame = wire.Frame(
-            release_pull=wire.ReleasePull(have_generation=have_generation)
+        return self._pull_client.pull(
+            _listener_address(member), have_generation
         )
-        if not self._events.send_control(member.node_id, frame):
-            reply.errback(ConnectionError(f"{member.node_id} has no address"))
-            return reply
-        self._pending_pulls[member.node_id] = reply
-        reply.addTimeout(_PULL_TIMEOUT_S, self._reactor)
-        return reply
 
     def answer_release_pull(self, pull: wire.ReleasePull) -> wire.Frame:
         """Returns the reply to a pull of another node."""
@@ -456,14 +445,6 @@
             push = wire.ReleasePush(generation=0, manifest=b"", sections={})
         return wire.Frame(release_push=push)
 
-    def receive_release_push(
-        self, node_id: str, push: wire.ReleasePush
-    ) -> None:
-        """Completes the pending pull from a node with its reply."""
-        reply = self._pending_pulls.pop(node_id, None)
-        if reply is not None and not reply.called:
-            reply.callback(push)
-
     def _parse(self, texts: Mapping[str, str]) -> "Result[Document, list[Any]]":
         """Combines all sections, and parses only those that have changed."""
         parsed: dict[str, tuple[str, ParsedSource]] = {}
@@ -501,3 +482,9 @@
             )
             for n in notes
         )
+
+
+def _listener_address(member: MemberRecord) -> tuple[str, int]:
+    """Returns the IP address and port of a member's node listener."""
+    host, _, port = member.node_address.rpartition(":")
+    return host, int(port)
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -476,10 +476,6 @@
                 for suspect in frame.crash_suspects.suspects
             )
 
-    def _on_control_reply(self, node_id: str, frame: wire.Frame) -> None:
-        if frame.release_push is not None:
-            self.fleet.receive_release_push(node_id, frame.release_push)
-
     def _create_link(self, node_id: str) -> PeerLink | None:
         address = self.fleet.node_address(node_id)
         if address is None:
@@ -491,7 +487,8 @@
             self.identity,
             self.attempt_sequence,
             self.settings.cluster_keys,
-            lambda frame: self._on_control_reply(node_id, frame),
+            # No frame that a gateway sends over a link has a reply.
+            lambda _frame: None,
             self._on_peer_verified,
             lambda reason: self.metrics.rejected_connections.labels(
                 reason
--- a/packages/node/radishtray_node/_node_server.py
+++ b/packages/node/radishtray_node/_node_server.py
@@ -17,6 +17,7 @@
 )
 from radishtray_transport import (
     FREE_BODY_BYTES,
+    UNTRACKED_EPOCH,
     LargeBodyLimit,
     NodeConnection,
 )
@@ -27,6 +28,8 @@
 # With a ping every second, 100 busy connections took 6 KB/s of the 14 KB/s for
 # control traffic. Answers are kept for at most 30 s even without a pong.
 _TICKS_PER_PING = 5
+# An untracked connection is closed by its opener after one exchange.
+_MAX_UNTRACKED_TICKS = 10
 
 _AttemptKey = tuple[str, int, int]
 """Node id and incarnation of the sender, and its attempt id."""
@@ -64,7 +67,8 @@
     """Serves calls and attempt queries and passes on control frames.
 
     Only the newest connection of a sender is used; older ones are fenced, which
-    means that they are closed and their frames are ignored.
+    means that they are closed and their frames are ignored. Untracked
+    connections, which carry only control frames, are not affected by that.
     """
 
     __slots__ = (
@@ -78,6 +82,7 @@
         "_server",
         "_ticks",
         "_unanswered_calls",
+        "_untracked_connections",
     )
 
     def __init__(
@@ -108,6 +113,8 @@
         # cancellation of a call that was held up may arrive together with it.
         self._arrived_calls: dict[_AttemptKey, _StartCall] = {}
         self._peers: dict[NodeConnection, _Peer] = {}
+        # Values are the ticks at which they were opened.
+        self._untracked_connections: dict[NodeConnection, int] = {}
         self._ticks = 0
         self._connections_by_token: dict[
             ConnectionToken[wire.Answer], NodeConnection
@@ -117,6 +124,9 @@
         """Registers a connection and fences the older one of its sender."""
         peer = connection.peer
         assert peer is not None
+        if peer.connection_epoch == UNTRACKED_EPOCH:
+            self._untracked_connections[connection] = self._ticks
+            return
         opened = self._attempt_table.open_connection(
             peer.node_id, peer.incarnation, peer.connection_epoch
         )
@@ -150,6 +160,9 @@
         self, connection: NodeConnection, frame: wire.Frame
     ) -> None:
         """Handles one frame; frames of a fenced connection are ignored."""
+        if connection in self._untracked_connections:
+            self._control_handler(connection, frame)
+            return
         peer = self._peers.get(connection)
         if peer is None:
             return
@@ -273,6 +286,7 @@
 
     def connection_lost(self, connection: NodeConnection) -> None:
         """Removes a connection; calls that arrived on it continue."""
+        self._untracked_connections.pop(connection, None)
         peer = self._peers.pop(connection, None)
         if peer is not None:
             self._connections_by_token.pop(peer.token, None)
@@ -290,6 +304,7 @@
         """
         self._attempt_table.expire()
         self._ticks += 1
+        self._close_old_untracked_connections()
         if self._ticks % _TICKS_PER_PING:
             return
         for connection, peer in self._peers.items():
@@ -297,6 +312,12 @@
             if answered != peer.acknowledged_sequence:
                 connection.ping(answered)
 
+    def _close_old_untracked_connections(self) -> None:
+        """Closes those whose opener has gone without closing them."""
+        for connection, opened in list(self._untracked_connections.items()):
+            if self._ticks - opened > _MAX_UNTRACKED_TICKS:
+                connection.abort()
+
 
 _WIRE_PHASES = {
     AttemptPhase.NEVER_SEEN: wire.AttemptPhase.NEVER_SEEN,
--- a/packages/transport/radishtray_transport/__init__.py
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -24,6 +24,7 @@
 from radishtray_transport._http_server import HttpServer
 from radishtray_transport._large_bodies import FREE_BODY_BYTES, LargeBodyLimit
 from radishtray_transport._node_connection import (
+    UNTRACKED_EPOCH,
     ConnectionEvents,
     NodeConnection,
     NodeIdentity,
@@ -49,6 +50,7 @@
     "ABSENT_VERSION",
     "FREE_BODY_BYTES",
     "MAX_DATAGRAM_BYTES",
+    "UNTRACKED_EPOCH",
     "Conflict",
     "ConnectionEvents",
     "DatagramFault",
--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -36,6 +36,9 @@
 from radishtray_transport._direct_writer import DirectWriter
 
 _LOG = logging.getLogger(__name__)
+UNTRACKED_EPOCH = 0
+"""Epoch of a connection for control frames only, beside that for calls."""
+
 _NONCE_BYTES = 16
 _INITIATOR_LABEL = b"opening"
 _ACCEPTOR_LABEL = b"accepting"
@@ -110,8 +113,8 @@
         Args:
             reactor: Source of time.
             identity: Identity of this process.
-            epoch: Number of the connection at the node that opens it; zero on
-                the accepting side.
+            epoch: Number of the connection at the node that opens it, or
+                `UNTRACKED_EPOCH`; zero on the accepting side.
             signer: Cluster keys.
             is_initiator: Whether this side opens the connection.
             events: Receives the events of the connection.
@@ -341,7 +344,8 @@
         reactor: The Twisted reactor.
         address: IP address and port of the peer's node listener.
         identity: Identity of this process.
-        epoch: Number of the connection; higher than that of earlier ones.
+        epoch: Number of the connection, higher than that of earlier ones, or
+            `UNTRACKED_EPOCH`.
         signer: Cluster keys.
         events: Receives the events of the connection.
         timeout_s: Seconds to wait for the TCP connection.
