Open a second connection while the pong of a link is late

A call over a silent link waited for the next check (0.25 s), for a pong (0.8 s) and for the following check, 1.0 to 1.25 s in all, and was then sent to another node whose link might be silent as well.

A call now asks for a pong at once if the last one is older than 0.2 s. While it is late by 0.2 s a spare connection is opened; a peer that is only slow answers the earlier ping first and keeps its connection, one behind a silent connection completes the handshake. An attempt that it never saw is sent to it again. The delay doubles while pongs come later, up to the 0.8 s after which a connection is still aborted.

A peer that pauses for 0.6 s keeps its link. slow_link stated that one connection was ever opened; it now states that the first is the only open one, in a network whose connects are as slow as its data. test_a_pull_over_a_silent_connection_ends_it looked at the last connection, which now is the spare one; it looks at the silent one.

--- a/packages/node/radishtray_node/_outgoing_call.py
+++ b/packages/node/radishtray_node/_outgoing_call.py
@@ -322,10 +322,10 @@
 
     def _on_failure(self, failure: SendFailure) -> None:
         if self._grant is not None:
-            if failure is SendFailure.NOT_RUN:
-                self._request.ledger.settle(self._grant, 0)
-            else:
+            if failure is SendFailure.UNKNOWN:
                 self._request.ledger.forfeit(self._grant)
+            else:
+                self._request.ledger.settle(self._grant, 0)
         self._router.selector.record_loss(self._node_id)
         if self._is_done:
             return
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -29,6 +29,9 @@
 
 _LOG = logging.getLogger(__name__)
 PING_TIMEOUT_S = 0.8
+# Without a pong for so long a second connection is opened. It replaces the
+# first one if it is ready before the pong.
+_SPARE_DELAY_S = 0.2
 # A link without calls for longer is closed, so that a node keeps connections
 # only to the nodes that it calls.
 IDLE_TIMEOUT_S = 60.0
@@ -53,6 +56,11 @@
     node sends. The next connection has a higher epoch, so that the receiver
     rejects frames of the old one (fencing), and queries the state of the
     attempts that were handed to earlier connections.
+
+    Calls cannot wait that long if the connection is silent. A spare one is
+    therefore opened while a pong is late: a peer that is only slow answers the
+    earlier ping first, and one that is alive behind a silent connection
+    completes the handshake of the spare one.
     """
 
     __slots__ = (
@@ -65,6 +73,7 @@
         "_is_connecting",
         "_is_control_unconfirmed",
         "_last_call_sent_s",
+        "_last_pong_s",
         "_on_control",
         "_on_process_ended",
         "_on_rejected",
@@ -75,6 +84,9 @@
         "_queue",
         "_reactor",
         "_signer",
+        "_spare",
+        "_spare_delay_s",
+        "_spare_started_s",
         "_timers",
         "address",
     )
@@ -129,6 +141,10 @@
         self._connect_failures = 0
         self._ping_sequence = 0
         self._ping_sent_s: float | None = None
+        self._last_pong_s = 0.0
+        self._spare: NodeConnection | None = None
+        self._spare_started_s = 0.0
+        self._spare_delay_s = _SPARE_DELAY_S
         # Whether no pong has arrived since the last untracked frame.
         self._is_control_unconfirmed = False
         self._last_call_sent_s = 0.0
@@ -217,12 +233,28 @@
                 connection.close()
             return
         if self._ping_sent_s is None:
-            self._ping_sent_s = now_s
-            self._ping_sequence += 1
-            connection.ping(self._ping_sequence)
-        elif now_s - self._ping_sent_s >= PING_TIMEOUT_S:
-            self._on_rejected("silent_connection")
-            connection.abort()
+            self._ping(connection)
+            return
+        waited_s = now_s - self._ping_sent_s
+        if waited_s >= PING_TIMEOUT_S:
+            self._abort_silent(connection)
+        elif waited_s >= self._spare_delay_s and self._spare is None:
+            self._spare_started_s = now_s
+            self._spare = self._open_connection()
+
+    def _ping(self, connection: NodeConnection) -> None:
+        self._ping_sent_s = self._reactor.seconds()
+        self._ping_sequence += 1
+        connection.ping(self._ping_sequence)
+
+    def _abort_silent(self, connection: NodeConnection) -> None:
+        self._on_rejected("silent_connection")
+        connection.abort()
+
+    def _close_spare(self) -> None:
+        spare, self._spare = self._spare, None
+        if spare is not None:
+            spare.abort()
 
     def reset(self) -> None:
         """Aborts the connection if it is ready.
@@ -248,6 +280,7 @@
         """
         incarnation = self._outstanding.receiver_incarnation
         lost = self._outstanding.receiver_lost()
+        self._close_spare()
         connection, self._connection = self._connection, None
         self._is_connecting = False
         if connection is not None:
@@ -276,6 +309,7 @@
             },
         )
         self._is_closed = True
+        self._close_spare()
         self._fail_queued_attempts()
         if self._connection is not None:
             self._connection.close()
@@ -293,8 +327,12 @@
             return
         self._is_connecting = True
         self._ping_sent_s = None
+        self._close_spare()
         self._connect_started_s = self._reactor.seconds()
-        connection = open_node_connection(
+        self._await_connection(self._open_connection())
+
+    def _open_connection(self) -> NodeConnection:
+        return open_node_connection(
             self._reactor,
             self.address,
             self._identity,
@@ -302,6 +340,9 @@
             self._signer,
             self,
         )
+
+    def _await_connection(self, connection: NodeConnection) -> None:
+        """Makes a connection that is being opened the current one."""
         self._connection = connection
         self._timers.call_later(
             _CONNECT_TIMEOUT_S, lambda: self._handle_slow_connect(connection)
@@ -321,15 +362,22 @@
             return
         attempt.call.attempt_id = attempt_id
         attempt.is_handed_over = True
-        self._last_call_sent_s = self._reactor.seconds()
+        self._last_call_sent_s = now_s = self._reactor.seconds()
         connection.send(wire.Frame(call=attempt.call))
+        if self._ping_sent_s is None and (
+            now_s - self._last_pong_s > _SPARE_DELAY_S
+        ):
+            self._ping(connection)
 
     def connection_ready(self, connection: NodeConnection) -> None:
         """Settles attempts of earlier connections, then sends the queue."""
         assert connection.peer is not None
+        if connection is self._spare:
+            self._replace_silent_connection(connection)
         self._is_connecting = False
         self._connect_failures = 0
         self._ping_sent_s = None
+        self._last_pong_s = self._reactor.seconds()
         self._is_control_unconfirmed = False
         if connection.incarnation != self._incarnation:
             # The receiver does not know attempts that were sent under another
@@ -366,6 +414,12 @@
             elif not item.is_settled:
                 self._hand_over(connection, item)
 
+    def _replace_silent_connection(self, spare: NodeConnection) -> None:
+        silent, self._connection = self._connection, spare
+        self._spare = None
+        if silent is not None:
+            self._abort_silent(silent)
+
     def frame_received(
         self, connection: NodeConnection, frame: wire.Frame
     ) -> None:
@@ -402,7 +456,7 @@
                 assert item.answer is not None
                 self._settle_answered(item.context, item.answer)
             elif item.verdict is AttemptVerdict.NOT_RUN:
-                self._settle_failed(item.context, SendFailure.NOT_RUN)
+                self._settle_failed(item.context, SendFailure.NEVER_SEEN)
             else:
                 self._settle_failed(item.context, SendFailure.UNKNOWN)
         for state in states.states:
@@ -415,9 +469,20 @@
 
     def pong_received(self, connection: NodeConnection, sequence: int) -> None:
         """Records that the peer still receives what this node sends."""
-        if connection is self._connection and sequence == self._ping_sequence:
-            self._ping_sent_s = None
-            self._is_control_unconfirmed = False
+        if (
+            connection is not self._connection
+            or sequence != self._ping_sequence
+            or self._ping_sent_s is None
+        ):
+            return
+        self._last_pong_s = now_s = self._reactor.seconds()
+        self._spare_delay_s = _next_spare_delay_s(
+            self._spare_delay_s, now_s - self._ping_sent_s
+        )
+        self._ping_sent_s = None
+        self._is_control_unconfirmed = False
+        if self._spare is not None and not self._spare.has_sent_proof:
+            self._close_spare()
 
     def connection_rejected(self, reason: str) -> None:
         """Reports a connection that this side aborted."""
@@ -425,12 +490,20 @@
 
     def connection_lost(self, connection: NodeConnection) -> None:
         """Reconnects if attempts or frames depend on it."""
+        if connection is self._spare:
+            self._spare = None
         if connection is not self._connection:
             return
         self._outstanding.closed(connection.epoch)
         if self._is_connecting:
             self.connection_failed(connection, is_refused=False)
             return
+        spare, self._spare = self._spare, None
+        if spare is not None:
+            self._is_connecting = True
+            self._connect_started_s = self._spare_started_s
+            self._await_connection(spare)
+            return
         self._connection = None
         if not self.is_idle:
             self._reconnect()
@@ -455,6 +528,10 @@
         If the connection was refused, the process that had them has ended,
         since a node listens until it ends.
         """
+        if connection is self._spare:
+            self._spare = None
+            if is_refused and self._connection is not None:
+                self._connection.abort()
         if connection is not self._connection:
             return
         self._is_connecting = False
@@ -486,6 +563,22 @@
             attempt.on_failure(failure)
 
 
+def _next_spare_delay_s(delay_s: float, pong_s: float) -> float:
+    """Returns after which time without a pong the next spare is opened.
+
+    A peer that is slow for long gets fewer connections.
+
+    Args:
+        delay_s: The time that applies now.
+        pong_s: Time that the last pong took.
+    """
+    if pong_s >= delay_s:
+        return min(2 * delay_s, PING_TIMEOUT_S)
+    if pong_s < delay_s / 2:
+        return max(delay_s / 2, _SPARE_DELAY_S)
+    return delay_s
+
+
 _PHASE_BY_WIRE_PHASE = {
     wire.AttemptPhase.NEVER_SEEN: AttemptPhase.NEVER_SEEN,
     wire.AttemptPhase.RUNNING: AttemptPhase.RUNNING,
--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -27,6 +27,8 @@
 # In a rolling restart, many nodes may drain before gossip says so. They answer
 # at once, so more of them are asked.
 _MAX_IMMEDIATE_REFUSALS = 8
+# Sends over a new connection to a node that never saw the attempt.
+_MAX_RESENDS = 2
 _MS_PER_S = 1000
 
 # Refusals of a request that had reached an upstream.
@@ -136,6 +138,7 @@
         "_on_result",
         "_refusals",
         "_request",
+        "_resends",
         "_server_error_answer",
         "_upstream_arrivals",
         "_version",
@@ -179,6 +182,7 @@
         self._attempt_sent_s = 0.0
         self._upstream_arrivals = 0
         self._refusals = 0
+        self._resends = 0
         self._excluded_nodes: tuple[str, ...] = ()
         self._may_have_run = False
         self._server_error_answer: CallResult | None = None
@@ -209,14 +213,15 @@
             return
         self._choose_and_send()
 
-    def _choose_and_send(self) -> None:
+    def _choose_and_send(self, preferred: str | None = None) -> None:
+        """Sends an attempt, to the preferred node if there is one."""
         router = self._entry.router
         blocklist = self._entry.crash_blocklist
         is_blocked = blocklist.is_blocked(self._request.fingerprint)
         if is_blocked and not blocklist.claim_probe(self._request.fingerprint):
             self._finish_refused(RefusalReason.CRASH_SUSPECT)
             return
-        chosen = self._choose_node()
+        chosen = preferred or self._choose_node()
         if isinstance(chosen, RefusalReason):
             router.metrics.count_refusal(chosen)
             self._finish_refused(chosen)
@@ -350,6 +355,11 @@
             return
         if failure is SendFailure.UNKNOWN:
             self._handle_unknown_outcome(RefusalReason.NODE_LOST)
+        elif failure is SendFailure.NEVER_SEEN and self._resends < _MAX_RESENDS:
+            self._resends += 1
+            reason = RefusalReason.NEVER_ARRIVED
+            self._entry.router.metrics.retries.labels(reason.value).inc()
+            self._choose_and_send(self._node_id)
         else:
             self._handle_not_run(RefusalReason.NEVER_ARRIVED)
 
--- a/packages/node/radishtray_node/_sent_attempt.py
+++ b/packages/node/radishtray_node/_sent_attempt.py
@@ -12,6 +12,9 @@
     NOT_RUN = "not_run"
     """The attempt was not handed over, or the receiver has not run it."""
 
+    NEVER_SEEN = "never_seen"
+    """The receiver has not run it, and a new connection to it is open."""
+
     UNKNOWN = "unknown"
     """The attempt may have run."""
 
--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -155,6 +155,11 @@
         """Whether the peer is verified and the connection is open."""
         return self.peer is not None and not self._is_closed
 
+    @property
+    def has_sent_proof(self) -> bool:
+        """Whether the peer may by now treat the connection as ready."""
+        return self._peer_hello is not None
+
     def connectionMade(self) -> None:
         """Sends the hello and starts the handshake timeout.
 
