Reject an answer whose status is outside 100 to 599

Cause: statuses below 100 were neither interim nor final, and such a message was completed with whatever number it had. The upper end was not checked either. Such a head now makes the response malformed: its outcome is unknown.

Tests: status_000, _001, _099, _600 and _999 of test_answer_rules.py; all five failed before.

--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -43,6 +43,7 @@
 _MAX_HEADERS = 500
 _BODILESS_STATUSES = frozenset((204, 304))
 _SERVICE_UNAVAILABLE = 503
+_STATUSES = range(100, 600)
 _PROTOCOL_PREFIX = b"HTTP/1."
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 # Request ids that a connection remembers, the newest ones.
@@ -279,6 +280,8 @@
         reason = self._reason_phrase
         if _PROTOCOL_PREFIX in reason and _STATUS_LINE.search(reason):
             self._is_invalid = True
+        if status not in _STATUSES:
+            self._is_invalid = True
         if status < 200:
             return
         if parser.get_http_version() not in ("1.0", "1.1"):
--- a/packages/transport/radishtray_transport/tests/test_answer_rules.py
+++ b/packages/transport/radishtray_transport/tests/test_answer_rules.py
@@ -71,6 +71,14 @@
         "close",
         CONNECTION_LOST,
     ),
+    **{
+        f"status_{status}": (
+            build_response("2", b"all", status=f"{status} X".encode()),
+            None,
+            RequestFailure.INVALID_ANSWER,
+        )
+        for status in ("000", "001", "099", "600", "999")
+    },
     "no_id": (
         b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
         None,
