Treat a close during an upload as a response that was broken off

Cause: a response without length ends with its connection. An orderly end was taken as its end also while the request was not sent whole; and a write that fails takes the reset from the socket, so that the read after it finds an orderly end.

Such a response now counts only if all bytes of the request had been accepted by the operating system and no write had failed. Responses with a length or in chunks are not affected.

Tests: test_a_close_during_an_upload_does_not_complete_a_response[no_length] failed before; the cases with a length, in chunks, and of a close after the upload hold before and after.

--- a/packages/testing/radishtray_testing/memory_network.py
+++ b/packages/testing/radishtray_testing/memory_network.py
@@ -117,6 +117,10 @@
         """The process that owns this end, if there is one."""
         return self._process
 
+    @property
+    def _tempDataLen(self) -> int:
+        return len(self._send_buffer)
+
     def connect_to(self, peer: "MemoryTransport") -> None:
         """Connects this end and the peer to each other."""
         self._peer, peer._peer = peer, self
--- a/packages/transport/radishtray_transport/_direct_writer.py
+++ b/packages/transport/radishtray_transport/_direct_writer.py
@@ -10,12 +10,20 @@
     iteration, which adds 0.1 ms to each of the five writes of a call.
     """
 
-    __slots__ = ("_is_queueing", "_transport")
+    __slots__ = ("_has_failed", "_is_queueing", "_transport")
 
     def __init__(self, transport: Any) -> None:
         """Wraps a connected TCP transport that has no queued bytes."""
         self._transport = transport
         self._is_queueing = False
+        self._has_failed = False
+
+    @property
+    def has_sent_all(self) -> bool:
+        """Whether the operating system has accepted all bytes so far."""
+        # Twisted keeps the bytes of the newest writes apart.
+        newest_bytes = int(self._transport._tempDataLen)
+        return not (self._has_failed or self.unsent_bytes or newest_bytes)
 
     @property
     def unsent_bytes(self) -> int:
@@ -38,6 +46,9 @@
             return
         # Queued bytes would be overtaken by further direct writes.
         self._is_queueing = True
-        if isinstance(sent, int) and sent > 0:
+        if not isinstance(sent, int):
+            # The error is reported once, so a later read finds an orderly end.
+            self._has_failed = True
+        elif sent > 0:
             data = data[sent:]
         transport.write(data)
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -452,6 +452,8 @@
             not self._is_close_delimited
             or not reason.check(ConnectionDone)
             or self._is_for_other_request
+            # A server that closes before it has the request has broken off.
+            or not self._writer.has_sent_all
         ):
             pending.fail(RequestFailure.CONNECTION_LOST)
         else:
--- a/packages/transport/radishtray_transport/tests/answer_builders.py
+++ b/packages/transport/radishtray_transport/tests/answer_builders.py
@@ -119,6 +119,7 @@
         request_id: str,
         handle_request: Callable[[Any], None],
         seconds: float = 0.5,
+        body: bytes = b"",
     ) -> PendingRequest:
         """Sends a request and runs the network."""
         self.factory.on_request = handle_request
@@ -126,7 +127,7 @@
             "GET",
             "/",
             [],
-            b"",
+            body,
             self._add_response,
             self._add_failure,
             expected_request_id=request_id,
--- a/packages/transport/radishtray_transport/tests/test_answer_rules.py
+++ b/packages/transport/radishtray_transport/tests/test_answer_rules.py
@@ -103,6 +103,45 @@
     assert pair.results == [expected]
 
 
+# Name: what the server sends 50 ms before it closes, expected result.
+EARLY_CLOSES = {
+    "no_length": (b"HTTP/1.1 200 OK\r\nX-Id: 2\r\n\r\npart", CONNECTION_LOST),
+    "length": (build_response("2", b"whole"), b"whole"),
+    "chunks": (build_response("2", b"whole", framing="chunks"), b"whole"),
+}
+
+
+@pytest.mark.parametrize("name", EARLY_CLOSES)
+def test_a_close_during_an_upload_does_not_complete_a_response(
+    name: str,
+) -> None:
+    data, expected = EARLY_CLOSES[name]
+    pair = ClientServerPair()
+
+    def limit_rate(client_end: Any, _server_end: Any) -> None:
+        client_end.max_write_some_bytes = client_end.max_flush_bytes = 1000
+
+    pair.network.on_connection = limit_rate
+
+    def respond(transport: Any) -> None:
+        transport.write(data)
+        pair.network.callLater(0.05, transport.loseConnection)
+
+    pair.send("2", respond, seconds=2, body=b"x" * 30_000)
+    assert pair.results == [expected]
+
+
+def test_a_close_after_an_upload_completes_a_response_without_length() -> None:
+    pair = ClientServerPair()
+
+    def respond(transport: Any) -> None:
+        transport.write(b"HTTP/1.1 200 OK\r\nX-Id: 2\r\n\r\nall")
+        pair.network.callLater(0.05, transport.loseConnection)
+
+    pair.send("2", respond, body=b"x" * 30_000)
+    assert pair.results == [b"all"]
+
+
 def test_connection_is_not_reused_after_a_response_to_another_request() -> None:
     pair = ClientServerPair()
     both = build_response("1", b"late") + build_response("2", b"own")
