Let the kernel probe the connections to the upstream

Connections to the upstream now have keep-alive: an idle one ends 2 s after it fell silent, and so does one that waits for an answer. The limit on data in transit is left out here, since Linux also applies it to a peer that reads nothing for so long, which an upstream may do with an upload. A request that is sent into a connection within these 2 s still waits for its timeout.

Test: test_idle_connections_to_an_upstream_that_fell_silent_cost_no_request; before, none of four requests was answered.

--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -331,6 +331,8 @@
             _MAX_RESPONSE_BYTES,
             self._response_rules,
             self._on_response_fault,
+            uses_keep_alive=True,
+            may_read_slowly=True,
             large_bodies=self._large_bodies,
         )
         self.process = UpstreamProcess(client)
--- a/packages/node/radishtray_node/tests/test_upstream_processes.py
+++ b/packages/node/radishtray_node/tests/test_upstream_processes.py
@@ -180,3 +180,27 @@
         replacement.send(f"r{number}")
     runs_at_once = len(replacement.first.runs)
     assert (runs_at_once < REQUESTS) == is_restart, "cold start"
+
+
+def test_idle_connections_to_an_upstream_that_fell_silent_cost_no_request() -> (
+    None
+):
+    fleet = GatewayFleet(TABLE)
+    upstream = fleet.add("n", "s")
+    fleet.run(3)
+    for number in range(REQUESTS):
+        fleet.send("n", "/once/", f"first{number}")
+    fleet.run(1)
+    connections = fleet.upstream_connections("n")
+    assert len(connections) >= REQUESTS
+    for ends in connections:
+        for end in ends:
+            end.is_silent = True
+    fleet.run(2.5)
+    results = [
+        fleet.send("n", "/once/", f"later{number}")
+        for number in range(REQUESTS)
+    ]
+    fleet.run(1)
+    assert [result.status for result in results] == [200] * REQUESTS
+    assert len(upstream.runs) == 2 * REQUESTS
--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -55,6 +55,8 @@
         report_fault: Called with each fault in what the server sends.
         uses_keep_alive: Whether connections on which the server has fallen
             silent are ended, also while a request waits for its response.
+        may_read_slowly: Whether a server that reads nothing for seconds is not
+            taken for silent.
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         "large_bodies",
         "max_body_bytes",
         "max_connections",
+        "may_read_slowly",
         "report_fault",
         "rules",
         "uses_keep_alive",
@@ -86,6 +89,7 @@
         on_fault: Callable[[ResponseFault], None] = lambda _: None,
         *,
         uses_keep_alive: bool = False,
+        may_read_slowly: bool = False,
         large_bodies: LargeBodyLimit | None = None,
     ) -> None:
         """Configures a client; connections are opened on demand.
@@ -100,11 +104,14 @@
             on_fault: Called with each fault in what the server sends.
             uses_keep_alive: Whether connections on which the server has fallen
                 silent are ended.
+            may_read_slowly: Whether a server that reads nothing for seconds is
+                not taken for silent.
             large_bodies: Limits the memory for large bodies that are being
                 read; None for no limit.
         """
         self.large_bodies = large_bodies
         self.uses_keep_alive = uses_keep_alive
+        self.may_read_slowly = may_read_slowly
         self.report_fault = on_fault
         self.max_body_bytes = max_body_bytes
         self.rules = rules or ResponseRules()
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -63,10 +63,13 @@
         large_bodies: Limits the memory for large bodies that are being read;
             None for no limit.
         uses_keep_alive: Whether silent connections are to be ended.
+        may_read_slowly: Whether a server that reads nothing for seconds is not
+            taken for silent.
     """
 
     large_bodies: LargeBodyLimit | None
     max_body_bytes: int
+    may_read_slowly: bool
     rules: ResponseRules
     uses_keep_alive: bool
 
@@ -159,7 +162,9 @@
         """Prepares the transport and adds the connection to its pool."""
         self.transport.setTcpNoDelay(True)
         if self._pool.uses_keep_alive:
-            enable_keep_alive(self.transport)
+            enable_keep_alive(
+                self.transport, limits_transit=not self._pool.may_read_slowly
+            )
         self._writer = DirectWriter(self.transport)
         self._pool.connection_opened(self)
 
--- a/packages/transport/radishtray_transport/tests/test_keep_alive.py
+++ b/packages/transport/radishtray_transport/tests/test_keep_alive.py
@@ -28,3 +28,11 @@
         probes = tcp_option(socket.TCP_KEEPCNT)
         assert tcp_option(socket.TCP_KEEPIDLE) + probes * probe_s <= 2
         assert 0 < tcp_option(socket.TCP_USER_TIMEOUT) <= 2000
+
+
+def test_a_peer_that_may_read_slowly_has_no_limit_for_data_in_transit() -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as handle:
+        enable_keep_alive(_Transport(handle), limits_transit=False)
+        option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert handle.getsockopt(*option) == 0
+        assert handle.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
