--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -9,6 +9,7 @@
 
 from twisted.internet.interfaces import IReactorTCP
 
+from radishtray_node._link_liveness import LinkLiveness
 from radishtray_node._sent_attempt import SendFailure, SentAttempt
 from radishtray_node._timers import TimerWheel
 from radishtray_protocol import wire
@@ -28,10 +29,6 @@
 )
 
 _LOG = logging.getLogger(__name__)
-PING_TIMEOUT_S = 0.8
-# Without a pong for so long a second connection is opened. It replaces the
-# first one if it is ready before the pong.
-_SPARE_DELAY_S = 0.2
 # A link without calls for longer is closed, so that a node keeps connections
 # only to the nodes that it calls.
 IDLE_TIMEOUT_S = 60.0
@@ -51,7 +48,7 @@
 class PeerLink:
     """Keeps one connection to a node and settles attempts across reconnects.
 
-    A connection whose ping gets no pong within `PING_TIMEOUT_S` is aborted.
+    A connection whose ping gets no pong in time is aborted.
     Other data from the peer does not prove that it still receives what this
     node sends. The next connection has a higher epoch, so that the receiver
     rejects frames of the old one (fencing), and queries the state of the
@@ -73,19 +70,16 @@
         "_is_connecting",
         "_is_control_unconfirmed",
         "_last_call_sent_s",
-        "_last_pong_s",
+        "_liveness",
         "_on_control",
         "_on_process_ended",
         "_on_rejected",
         "_on_verified",
         "_outstanding",
-        "_ping_sent_s",
-        "_ping_sequence",
         "_queue",
         "_reactor",
         "_signer",
         "_spare",
-        "_spare_delay_s",
         "_spare_started_s",
         "_timers",
         "address",
@@ -139,12 +133,9 @@
         self._is_connecting = False
         self._is_closed = False
         self._connect_failures = 0
-        self._ping_sequence = 0
-        self._ping_sent_s: float | None = None
-        self._last_pong_s = 0.0
+        self._liveness = LinkLiveness()
         self._spare: NodeConnection | None = None
         self._spare_started_s = 0.0
-        self._spare_delay_s = _SPARE_DELAY_S
         # Whether no pong has arrived since the last untracked frame.
         self._is_control_unconfirmed = False
         self._last_call_sent_s = 0.0
@@ -228,25 +219,19 @@
         if not self._outstanding.outstanding and (
             not self._is_control_unconfirmed
         ):
-            self._ping_sent_s = None
+            self._liveness.stop_waiting()
             if now_s - self._last_call_sent_s > IDLE_TIMEOUT_S:
                 connection.close()
             return
-        if self._ping_sent_s is None:
-            self._ping(connection)
-            return
-        waited_s = now_s - self._ping_sent_s
-        if waited_s >= PING_TIMEOUT_S:
+        liveness = self._liveness
+        if not liveness.is_waiting:
+            connection.ping(liveness.record_ping(now_s))
+        elif liveness.has_timed_out(now_s):
             self._abort_silent(connection)
-        elif waited_s >= self._spare_delay_s and self._spare is None:
+        elif liveness.is_spare_due(now_s) and self._spare is None:
             self._spare_started_s = now_s
             self._spare = self._open_connection()
 
-    def _ping(self, connection: NodeConnection) -> None:
-        self._ping_sent_s = self._reactor.seconds()
-        self._ping_sequence += 1
-        connection.ping(self._ping_sequence)
-
     def _abort_silent(self, connection: NodeConnection) -> None:
         self._on_rejected("silent_connection")
         connection.abort()
@@ -326,7 +311,7 @@
         if self._is_connecting or self._is_closed or self.is_connected:
             return
         self._is_connecting = True
-        self._ping_sent_s = None
+        self._liveness.stop_waiting()
         self._close_spare()
         self._connect_started_s = self._reactor.seconds()
         self._await_connection(self._open_connection())
@@ -364,10 +349,8 @@
         attempt.is_handed_over = True
         self._last_call_sent_s = now_s = self._reactor.seconds()
         connection.send(wire.Frame(call=attempt.call))
-        if self._ping_sent_s is None and (
-            now_s - self._last_pong_s > _SPARE_DELAY_S
-        ):
-            self._ping(connection)
+        if self._liveness.is_ping_due(now_s):
+            connection.ping(self._liveness.record_ping(now_s))
 
     def connection_ready(self, connection: NodeConnection) -> None:
         """Settles attempts of earlier connections, then sends the queue."""
@@ -376,8 +359,7 @@
             self._replace_silent_connection(connection)
         self._is_connecting = False
         self._connect_failures = 0
-        self._ping_sent_s = None
-        self._last_pong_s = self._reactor.seconds()
+        self._liveness.begin(self._reactor.seconds())
         self._is_control_unconfirmed = False
         if connection.incarnation != self._incarnation:
             # The receiver does not know attempts that were sent under another
@@ -469,17 +451,10 @@
 
     def pong_received(self, connection: NodeConnection, sequence: int) -> None:
         """Records that the peer still receives what this node sends."""
-        if (
-            connection is not self._connection
-            or sequence != self._ping_sequence
-            or self._ping_sent_s is None
+        if connection is not self._connection or (
+            not self._liveness.record_pong(sequence, self._reactor.seconds())
         ):
             return
-        self._last_pong_s = now_s = self._reactor.seconds()
-        self._spare_delay_s = _next_spare_delay_s(
-            self._spare_delay_s, now_s - self._ping_sent_s
-        )
-        self._ping_sent_s = None
         self._is_control_unconfirmed = False
         if self._spare is not None and not self._spare.has_sent_proof:
             self._close_spare()
@@ -563,22 +538,6 @@
             attempt.on_failure(failure)
 
 
-def _next_spare_delay_s(delay_s: float, pong_s: float) -> float:
-    """Returns after which time without a pong the next spare is opened.
-
-    A peer that is slow for long gets fewer connections.
-
-    Args:
-        delay_s: The time that applies now.
-        pong_s: Time that the last pong took.
-    """
-    if pong_s >= delay_s:
-        return min(2 * delay_s, PING_TIMEOUT_S)
-    if pong_s < delay_s / 2:
-        return max(delay_s / 2, _SPARE_DELAY_S)
-    return delay_s
-
-
 _PHASE_BY_WIRE_PHASE = {
     wire.AttemptPhase.NEVER_SEEN: AttemptPhase.NEVER_SEEN,
     wire.AttemptPhase.RUNNING: AttemptPhase.RUNNING,
--- a/packages/node/radishtray_node/tests/test_node_faults.py
+++ b/packages/node/radishtray_node/tests/test_node_faults.py
@@ -10,7 +10,8 @@
 import pytest
 
 from radishtray_node._forwarding import SEND_ID_HEADER
-from radishtray_node._peer_link import IDLE_TIMEOUT_S, PING_TIMEOUT_S
+from radishtray_node._link_liveness import PING_TIMEOUT_S
+from radishtray_node._peer_link import IDLE_TIMEOUT_S
 from radishtray_protocol import wire
 from radishtray_testing.node_builders import (
     Caller,
