Close the spare connection when a link is reset

Found by reading the change. A link is reset after its node has taken a higher incarnation, or when the peer is believed gone. The spare connection may have been opened under the earlier incarnation and became the current one; peers reject it, and the attempts waited for another reconnect.

Test: test_a_reset_link_does_not_go_on_with_its_spare_connection failed before.

--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -244,8 +244,10 @@
     def reset(self) -> None:
         """Aborts the connection if it is ready.
 
-        Its attempts are settled over the next one.
+        Its attempts are settled over the next one. That is not the spare one,
+        which may have been opened under another incarnation.
         """
+        self._close_spare()
         connection = self._connection
         if connection is not None and connection.is_ready:
             _LOG.info(
--- a/packages/node/radishtray_node/tests/test_link_events.py
+++ b/packages/node/radishtray_node/tests/test_link_events.py
@@ -153,3 +153,20 @@
         assert result.status == 200
     connected = [end for end in opened_ends(fleet) if end.connected]
     assert connected == [ends[0]]
+
+
+def test_a_reset_link_does_not_go_on_with_its_spare_connection() -> None:
+    fleet = build_fleet()
+    ends = open_link(fleet)
+    fleet.network.silent_ports.add(node_port(fleet))
+    for end in ends:
+        end.is_silent = True
+    fleet.send("e", "/once/", "r")
+    fleet.run(0.6)
+    spare = opened_ends(fleet)[-1]
+    assert spare is not ends[0] and spare.connected
+    fleet.network.silent_ports.clear()
+    fleet.gateways["e"]._router.reset_links()
+    fleet.run(0.5)
+    assert not spare.connected
+    assert opened_ends(fleet)[-1].connected
