--- a/packages/node/radishtray_node/tests/test_node_faults.py
+++ b/packages/node/radishtray_node/tests/test_node_faults.py
@@ -189,8 +189,12 @@
     bench.send()
     first = bench.link_ends()
     slow_down(*first)
-    bench.cluster.network.on_connection = slow_down
-    bench.cluster.network.connect_delay = lambda _port: 0.9 * PING_TIMEOUT_S
+    network = bench.cluster.network
+    network.on_connection = slow_down
+    connect = network.connect
+    network.connect = lambda *arguments: network.callLater(
+        0.9 * PING_TIMEOUT_S, connect, *arguments
+    )
     bench.upstream.answer()
     bench.send()
     bench.run(1)
--- a/packages/testing/radishtray_testing/memory_network.py
+++ b/packages/testing/radishtray_testing/memory_network.py
@@ -423,8 +423,8 @@
         datagram_ports: UDP sockets by port.
         datagram_delay: Returns the delay in seconds of a datagram from one port
             to another; None if it is lost.
-        connect_delay: Returns the time in seconds until a connection to a port
-            is accepted or refused.
+        connect_delay: Returns the time in seconds until a process's connection
+            to a port is accepted or refused.
         on_connection: Called with both ends of each new TCP connection before
             they are used.
     """
@@ -506,8 +506,7 @@
     ) -> None:
         """Connects, or reports a refusal, in the next loop iteration."""
         del host, timeout
-        delay_s = self.connect_delay(port)
-        self.callLater(delay_s, self.connect, port, factory, None)
+        self.callLater(0, self.connect, port, factory, None)
 
     def connect(
         self, port: int, factory: Any, process: "MemoryProcess | None"
