--- a/packages/node/radishtray_node/_pull_client.py
+++ b/packages/node/radishtray_node/_pull_client.py
@@ -99,6 +99,7 @@
         identity: NodeIdentity,
         signer: Signer,
     ) -> None:
+        """Opens the connection and starts the timeouts."""
         self._timers = [
             reactor.callLater(timeout_s, self.fail, reason)
             for timeout_s, reason in (
@@ -134,6 +135,7 @@
                 timer.cancel()
 
     def connection_ready(self, connection: NodeConnection) -> None:
+        """Sends the pull."""
         handshake_timer = self._timers[0]
         if handshake_timer.active():
             handshake_timer.cancel()
@@ -143,6 +145,7 @@
     def frame_received(
         self, connection: NodeConnection, frame: wire.Frame
     ) -> None:
+        """Completes the pull with its answer; ignores other frames."""
         push = frame.release_push
         if push is None or self.reply.called:
             return
@@ -152,18 +155,21 @@
         self.reply.callback(push)
 
     def read_finished(self, connection: NodeConnection) -> None:
-        pass
+        """Does nothing: each frame is handled as it arrives."""
 
     def pong_received(self, connection: NodeConnection, sequence: int) -> None:
-        pass
+        """Does nothing: no pings are sent."""
 
     def connection_rejected(self, reason: str) -> None:
+        """Ends the pull: the handshake failed or a frame was invalid."""
         self.fail(reason)
 
     def connection_lost(self, connection: NodeConnection) -> None:
+        """Ends the pull, unless its answer has arrived."""
         self.fail("connection lost")
 
     def connection_failed(
         self, connection: NodeConnection, *, is_refused: bool
     ) -> None:
+        """Ends the pull."""
         self.fail("connection refused" if is_refused else "cannot connect")
