--- a/packages/testing/radishtray_testing/answer_simulation.py
+++ b/packages/testing/radishtray_testing/answer_simulation.py
@@ -25,7 +25,7 @@
     Violation,
     check_request,
 )
-from radishtray_testing._seeded_nodes import recorded_errors, seeded_nodes
+from radishtray_testing.seeded_nodes import recorded_errors, seeded_nodes
 from radishtray_testing.gateway_builders import (
     HEADER_NAMES,
     FakeGatewayUpstream,
