Replace an idle connection if all have sent the id of a request

A repeat of a request never goes over a connection that has sent its id before, since a second answer to the first send could be taken for its own. With all connections of the pool open and idle, and all of them used for earlier sends of the request, the repeat was queued: nothing closed a connection and nothing opened another, so the request was held until its deadline and answered 504, though it had only been rejected.

Ruled out: the stand-in upstream, which never received the 25th send.

The oldest idle connection is now closed, and the new one takes the queue.

Test: test_a_repeat_does_not_wait_for_connections_that_sent_its_id, two cases, failed before.

--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -177,7 +177,7 @@
             connection.send(pending)
         else:
             self._queued_requests.append(pending)
-            self._start_connecting()
+            self._provide_connection()
         return pending
 
     def _pop_idle_connection(
@@ -214,15 +214,23 @@
         for connection in list(self._idle_connections):
             connection.transport.loseConnection()
 
+    def _provide_connection(self) -> None:
+        """Opens a connection for a queued request, if one more is allowed.
+
+        Otherwise an idle one, which has sent the id of the request before, is
+        replaced.
+        """
+        count = len(self._open_connections) + self._connecting_count
+        if count < self.max_connections:
+            self._start_connecting()
+        elif self._idle_connections:
+            self._idle_connections.pop(0).transport.loseConnection()
+
     def _start_connecting(self) -> None:
-        if (
-            len(self._open_connections) + self._connecting_count
-            < self.max_connections
-        ):
-            self._connecting_count += 1
-            self._reactor.connectTCP(
-                self._host, self._port, self._factory, timeout=5
-            )
+        self._connecting_count += 1
+        self._reactor.connectTCP(
+            self._host, self._port, self._factory, timeout=5
+        )
 
     def _pop_queued_request(self) -> PendingRequest | None:
         while self._queued_requests:
@@ -273,4 +281,4 @@
         if connection in self._idle_connections:
             self._idle_connections.remove(connection)
         if self._queued_requests and not self._is_closed:
-            self._start_connecting()
+            self._provide_connection()
--- a/packages/transport/radishtray_transport/tests/test_repeated_answers.py
+++ b/packages/transport/radishtray_transport/tests/test_repeated_answers.py
@@ -235,6 +235,19 @@
     assert transports[0] is not transports[1]
 
 
+@pytest.mark.parametrize("max_connections", [1, 3])
+def test_a_repeat_does_not_wait_for_connections_that_sent_its_id(
+    max_connections: int,
+) -> None:
+    pair = ClientServerPair(max_connections)
+    answer = signed("1", "own-1")
+    for _ in range(2 * max_connections + 1):
+        pair.send("1", lambda transport: transport.write(answer))
+    assert [summary(response) for response in pair.responses] == OWN_ANSWERS[
+        1:2
+    ] * (2 * max_connections + 1)
+
+
 def test_random_sequences_of_second_answers() -> None:
     rng = random.Random(_SEED)
     for number in range(_RANDOM_SEQUENCES):
