Judge rejections by the other upstreams of a service

Cause: a rejected request is tried at another upstream unless the service as a whole rejects, which was judged by all recent outcomes: three tenths of two or more. Counting began with the first rejection, so two rejections by the same upstream among three outcomes counted as widespread. How often one upstream rejects says nothing about the others.

Outcomes are now counted by node from the first one on, and the upstream that rejected is left out of the judgement. Without another candidate nothing is repeated and no repeat is taken from the budget.

Ruled out: more outcomes before a judgement. One upstream of three or two still reaches the share, and repeats that cannot succeed are sent meanwhile.

--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -304,7 +304,9 @@
             return
         reason = result.refusal
         self._entry.rejections.record(
-            self.service, is_rejected=reason is RefusalReason.UPSTREAM_BUSY
+            self.service,
+            self._node_id,
+            is_rejected=reason is RefusalReason.UPSTREAM_BUSY,
         )
         if reason is None:
             if (
@@ -372,7 +374,7 @@
             self._upstream_arrivals += 1
             may_retry = (
                 reason is not RefusalReason.UPSTREAM_BUSY
-                or not self._entry.rejections.is_widespread(self.service)
+                or self._may_another_upstream_serve()
             ) and self._claim_repeat()
         else:
             self._refusals += 1
@@ -390,6 +392,14 @@
         else:
             self._finish_refused(reason)
 
+    def _may_another_upstream_serve(self) -> bool:
+        """Returns whether to try another upstream after a rejection."""
+        exclude = (*self._excluded_nodes, self._node_id)
+        entry = self._entry
+        return entry.router.selector.has_candidate(
+            self.service, exclude
+        ) and not entry.rejections.is_widespread(self.service, self._node_id)
+
     def _handle_unknown_outcome(self, reason: RefusalReason) -> None:
         """Retries or finishes after an attempt that may have run."""
         self._may_have_run = True
--- a/packages/node/radishtray_node/tests/test_gateway.py
+++ b/packages/node/radishtray_node/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 import gc
 import re
+from random import Random
 from typing import Any
 
 import pytest
@@ -16,6 +17,7 @@
     build_route_table,
     echoed_id,
 )
+from radishtray_testing.seeded_nodes import seeded_nodes
 from radishtray_transport import HttpRequest
 
 NOT_REPEATABLE = {"is_repeatable": False}
@@ -968,6 +970,39 @@
     assert retries._value.get() <= most_retries
 
 
+@pytest.mark.parametrize("seed", [33, 50, 51, 56, 83, 84])
+def test_requests_that_one_upstream_rejects_are_served_by_others(
+    seed: int,
+) -> None:
+    with seeded_nodes(Random(seed)):
+        fleet = build_fleet(4)
+    upstream = fleet.upstreams["n0"]
+    upstream.on_run = upstream.shed
+    results = []
+    for number in range(100):
+        results.append(fleet.send("e", "/once/", f"r{number}"))
+        fleet.run(0.02)
+    fleet.run(1)
+    assert {result.status for result in results} == {200}
+
+
+@pytest.mark.parametrize("rejections", [1, 2, 5])
+def test_a_rejection_by_the_only_upstream_is_not_repeated(
+    rejections: int,
+) -> None:
+    fleet = build_fleet(1)
+    upstream = fleet.upstreams["n0"]
+    upstream.on_run = upstream.shed
+    results = []
+    for number in range(rejections):
+        results.append(fleet.send("e", "/once/", f"r{number}"))
+        fleet.run(0.02)
+    fleet.run(2)
+    assert [result.status for result in results] == [503] * rejections
+    retries = fleet.gateways["e"].metrics.retries.labels("upstream_busy")
+    assert retries._value.get() == 0
+
+
 # Name: whether the upstream still serves every second request, and whether the
 # others, which it does not answer in time, are held against it.
 TIMEOUTS = {"overloaded": (True, False), "silent": (False, True)}
--- a/packages/state/radishtray_state/_selection.py
+++ b/packages/state/radishtray_state/_selection.py
@@ -382,6 +382,19 @@
             return chosen
         return chosen.candidate.node_id
 
+    def has_candidate(self, service: str, exclude: Collection[str]) -> bool:
+        """Returns whether a service has a candidate that is not excluded.
+
+        Args:
+            service: Name of the service.
+            exclude: Ids of nodes that must not be chosen.
+        """
+        service_peers = self._service_peers.get(service)
+        return service_peers is not None and any(
+            peer.candidate.node_id not in exclude
+            for peer in service_peers.peers
+        )
+
     def all_refuse(self, service: str, rank: int) -> bool:
         """Returns whether every candidate is known to refuse the rank.
 
--- a/packages/state/radishtray_state/tests/test_selection.py
+++ b/packages/state/radishtray_state/tests/test_selection.py
@@ -272,3 +272,18 @@
     bench.record_answers("c1", "c2", latency_s=0.0)
     picks = {bench.selector.choose("t", 100) for _ in range(100)}
     assert picks == {"c1", "c2"}
+
+
+# Name: service, excluded nodes, and whether another node is left.
+OTHER_CANDIDATES: dict[str, tuple[str, tuple[str, ...], bool]] = {
+    "none excluded": ("s", (), True),
+    "all but one excluded": ("s", ("a1", "a2", "b1"), True),
+    "all excluded": ("s", ("a1", "a2", "b1", "b2"), False),
+    "unknown service": ("t", (), False),
+}
+
+
+@pytest.mark.parametrize("name", OTHER_CANDIDATES)
+def test_has_candidate(name: str) -> None:
+    service, excluded, expected = OTHER_CANDIDATES[name]
+    assert Bench().selector.has_candidate(service, excluded) is expected
