--- a/packages/testing/radishtray_testing/answer_simulation.py
+++ b/packages/testing/radishtray_testing/answer_simulation.py
@@ -25,7 +25,6 @@
     Violation,
     check_request,
 )
-from radishtray_testing.seeded_nodes import recorded_errors, seeded_nodes
 from radishtray_testing.gateway_builders import (
     HEADER_NAMES,
     FakeGatewayUpstream,
@@ -34,6 +33,7 @@
     build_route_table,
 )
 from radishtray_testing.memory_network import MemoryTransport
+from radishtray_testing.seeded_nodes import recorded_errors, seeded_nodes
 from radishtray_transport import HttpClient, HttpRequest
 
 ANSWER_SLACK_S: Final = 0.5
