Check the seeds as soon as the store has lost objects

In a drill the store may come back from a copy that lacks what the system wrote last. The seeds objects are all that nodes write on the platform; their maintainers check them in the end once a minute.

Each node that sees the era of the store rise now checks the seeds object of its failure domain within a second. Watchers, at least two of each failure domain, always have a call under way and see it as soon as the store answers. A check is one read and at most one conditional write.

Ruled out: shorter intervals of the maintainers, which cost calls all the time.

The drill is now played with twelve real nodes of three failure domains, each with a client of its own: a silent or refusing store, revisions of the next version below, at and beyond the last one seen, half of the nodes restarted meanwhile, a third of them that reach the store later.

--- a/packages/coordination/radishtray_coordination/_membership_driver.py
+++ b/packages/coordination/radishtray_coordination/_membership_driver.py
@@ -37,6 +37,7 @@
 _CHECK_INTERVAL_S = 60.0
 _MAINTAINERS_PER_DOMAIN = 2  # 15 domains * 4 reads a minute make 1 read/s.
 _RANK_CHECK_INTERVAL_S = 5.0
+_RESTORE_CHECK_INTERVAL_S = 1.0
 
 
 class MembershipDriver:
@@ -44,9 +45,11 @@
 
     A node without a live peer pings configured and stored addresses until a
     peer answers. A few members of each failure domain, chosen by rendezvous
-    hashing, check its seeds object, in the end every minute. A node that joins
-    by its configured addresses makes no call. So the load on the platform
-    depends on the number of failure domains, not on the number of nodes.
+    hashing, check its seeds object, in the end every minute. So does each node
+    that sees that the platform has come back from an older copy, which may lack
+    the object. A node that joins by its configured addresses makes no call. So
+    the load on the platform depends on the number of failure domains, not on
+    the number of nodes.
     """
 
     __slots__ = (
@@ -54,6 +57,7 @@
         "_clock",
         "_closed",
         "_configured_addresses",
+        "_handled_restore_count",
         "_membership",
         "_reactor",
         "_rng",
@@ -95,6 +99,7 @@
         self._store = store
         self._configured_addresses = tuple(seeds)
         self._stored_addresses: tuple[str, ...] = ()
+        self._handled_restore_count = 0
         self._backoff = Backoff(rng, _FIRST_BACKOFF_S, _MAX_BACKOFF_S)
         self._timer: IDelayedCall | None = None
         self._closed = False
@@ -152,18 +157,31 @@
         await sleep(self._reactor, self._rng.uniform(0, spread_s))
         while True:
             rank = self._maintainer_rank
-            if rank is None:
-                await sleep(self._reactor, _RANK_CHECK_INTERVAL_S)
+            restore_count = self._store.restore_count
+            if rank is None and restore_count == self._handled_restore_count:
+                await self._sleep_unless_restored(_RANK_CHECK_INTERVAL_S)
                 continue
             is_done = await self._check_own_seeds(rank)
             if not is_done or self._is_alone:
                 await sleep(self._reactor, self._backoff.next_delay_s())
                 continue
             self._backoff.reset()
+            self._handled_restore_count = restore_count
+            if rank is None:
+                continue
             jitter = self._rng.uniform(0.8, 1.2)
-            await sleep(self._reactor, interval_s * jitter)
+            await self._sleep_unless_restored(interval_s * jitter)
             interval_s = min(2 * interval_s, _CHECK_INTERVAL_S)
 
+    async def _sleep_unless_restored(self, seconds: float) -> None:
+        """Sleeps until the time is over or the store has lost objects."""
+        end_s = self._reactor.seconds() + seconds
+        while self._store.restore_count == self._handled_restore_count:
+            left_s = end_s - self._reactor.seconds()
+            if left_s <= 0:
+                return
+            await sleep(self._reactor, min(left_s, _RESTORE_CHECK_INTERVAL_S))
+
     @property
     def _maintainer_rank(self) -> int | None:
         """Position among the maintainers of the seeds object, or None.
@@ -245,12 +263,12 @@
         # An object that cannot be decoded counts as empty and is replaced.
         return result.ok.version, decoded.default_value(())
 
-    async def _check_own_seeds(self, rank: int) -> bool:
+    async def _check_own_seeds(self, rank: int | None) -> bool:
         """Updates the seeds object of the own failure domain if necessary.
 
         Args:
             rank: Position among the maintainers; the first one also looks for
-                members of other failure domains.
+                members of other failure domains. None for another node.
 
         Returns:
             False if a platform call failed.
--- a/packages/coordination/radishtray_coordination/_store.py
+++ b/packages/coordination/radishtray_coordination/_store.py
@@ -22,6 +22,11 @@
     client: Conflict, NotFound, Unreachable, OutcomeUnknown, Rejected.
     """
 
+    @property
+    def restore_count(self) -> int:
+        """How often the store was seen to come back from an older copy."""
+        ...
+
     def get(self, name: str) -> "Deferred[Result[Any, Any]]":
         """Reads an object; the result has its name, version and value."""
         ...
--- a/packages/node/radishtray_node/_object_store.py
+++ b/packages/node/radishtray_node/_object_store.py
@@ -78,6 +78,11 @@
         """Wraps the client, which `close` closes."""
         self._client = client
 
+    @property
+    def restore_count(self) -> int:
+        """0: this store loses nothing."""
+        return 0
+
     def get(self, name: str) -> "Deferred[Result[Any, Any]]":
         """Reads a `VersionedObject`."""
         return self._client.get(name).addCallback(_to_versioned_object)
--- a/packages/testing/radishtray_testing/_memory_store.py
+++ b/packages/testing/radishtray_testing/_memory_store.py
@@ -164,6 +164,11 @@
         self._reactor = reactor
         self.cut = False
 
+    @property
+    def restore_count(self) -> int:
+        """0: this store loses nothing."""
+        return 0
+
     def get(self, name: str) -> "Deferred[Result[Any, Any]]":
         """Reads an object; `NotFound` if it does not exist."""
         self._store.reads += 1
--- a/packages/testing/radishtray_testing/gateway_builders.py
+++ b/packages/testing/radishtray_testing/gateway_builders.py
@@ -110,6 +110,11 @@
         self._table = table
         self._pending_watches: list[Deferred[Result[Any, Any]]] = []
 
+    @property
+    def restore_count(self) -> int:
+        """0: this store loses nothing."""
+        return 0
+
     def publish(self, table: RouteTable) -> None:
         """Replaces the table and, unless down, answers the pending watches."""
         self._table = table
@@ -227,8 +232,9 @@
 def build_gateway(
     reactor: Any,
     settings: GatewaySettings,
-    store: RouteTableStore,
+    store: Any,
     wall_offset_ms: int = 0,
+    decode_table: Callable[[bytes], Result[RouteTable, Any]] = decode_routes,
 ) -> Gateway:
     """Builds a gateway without starting it.
 
@@ -238,13 +244,12 @@
         store: The platform's store.
         wall_offset_ms: Error of the gateway's wall clock in milliseconds, if
             the reactor has no clock of its own.
+        decode_table: Decodes the object with the route table.
     """
     clock = getattr(reactor, "clock", None) or NetworkClock(
         reactor, wall_offset_ms
     )
-    return Gateway(
-        reactor, clock, settings, store, decode_routes, ignore_report
-    )
+    return Gateway(reactor, clock, settings, store, decode_table, ignore_report)
 
 
 def echoed_id(http: HttpRequest) -> list[str]:
@@ -423,6 +428,8 @@
     Attributes:
         network: Reactor of the callers; runs the events of all processes.
         store: The platform's store, which all gateways share.
+        open_store: Returns the client of the platform's store of a process.
+        decode_table: Decodes the object with the route table.
         gateways: Gateways by node id; a killed one is kept until its restart.
         processes: Processes of the gateways, by node id.
         upstreams: Upstreams by the node id of their gateway.
@@ -438,6 +445,10 @@
         """
         self.network = MemoryNetwork()
         self.store = RouteTableStore(table)
+        self.open_store: Callable[[MemoryProcess], Any] = lambda _: self.store
+        self.decode_table: Callable[[bytes], Result[RouteTable, Any]] = (
+            decode_routes
+        )
         self.gateways: dict[str, Gateway] = {}
         self.processes: dict[str, MemoryProcess] = {}
         self.upstreams: dict[str, FakeGatewayUpstream] = {}
@@ -479,7 +490,13 @@
             **({"seeds": seeds} | member.changes),
         )
         process = MemoryProcess(self.network)
-        gateway = build_gateway(process, settings, self.store, wall_offset_ms)
+        gateway = build_gateway(
+            process,
+            settings,
+            self.open_store(process),
+            wall_offset_ms,
+            self.decode_table,
+        )
         gateway.start()
         self.gateways[name] = gateway
         self.processes[name] = process
