--- a/conftest.py
+++ b/conftest.py
@@ -1,14 +1,17 @@
-"""Options of the tests, and the tests listed in KNOWN-RED.txt.
+"""Seeds simulated nodes; passes over the tests listed in KNOWN-RED.txt.
 
-The listed tests are passed over and printed.
+The listed tests are printed.
 """
 
 from collections.abc import Iterator
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import pytest
 
+from radishtray_testing.seeded_nodes import seeded_nodes
+
 _LIST = Path(__file__).parent / "KNOWN-RED.txt"
 _PREFIX = "test: "
 
@@ -36,6 +39,14 @@
     )
 
 
+@pytest.fixture(autouse=True)
+def _seeded_gateways(request: pytest.FixtureRequest) -> Iterator[None]:
+    """Seeds each test by its name and the option `--seed`."""
+    seed = request.config.getoption("--seed")
+    with seeded_nodes(Random(f"{seed} {request.node.name}")):
+        yield
+
+
 @pytest.hookimpl(hookwrapper=True)
 def pytest_runtest_makereport(item: pytest.Item, call: Any) -> Iterator[None]:
     """Reports the failure of a listed test as expected."""
