Packages for decisions under load and organisations; wire fields; features

Cause: decisions under load and organisations need homes below node, and the parts that are built side by side need fixed interfaces. No behaviour changes. Result: linter and types clean; tests of platform and protocol pass.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := state protocol transport coordination node ctl testing
+PACKAGES := state overload organisations protocol transport coordination node ctl testing
 
 .PHONY: setup test demo format check types lock generate reference
 
--- a/packages/node/radishtray_node/_gateway_settings.py
+++ b/packages/node/radishtray_node/_gateway_settings.py
@@ -1,8 +1,11 @@
 """Settings of a gateway node, which forwards requests by route."""
 
+from radishtray_node._features import Feature
 from radishtray_node._forwarding import HeaderNames
 from radishtray_protocol import ClusterKeys
 
+_DEFAULT_MAX_DESCRIPTORS = 4096
+
 
 class GatewayAddresses:
     """Addresses and ports that a node listens on.
@@ -75,6 +78,31 @@
         self.window_s = window_s
 
 
+class RevocationSettings:
+    """How fast the withdrawal of an organisation's key must take effect.
+
+    Attributes:
+        is_strict: Whether it binds nodes that do not reach the platform, too.
+        limit_s: Seconds after the platform has accepted a configuration
+            without the key from which no request with it may be accepted.
+    """
+
+    __slots__ = ("is_strict", "limit_s")
+
+    def __init__(
+        self, *, is_strict: bool = False, limit_s: float = 5.0
+    ) -> None:
+        """Validates and stores the limit.
+
+        Raises:
+            ValueError: If the limit is not positive.
+        """
+        if not limit_s > 0:
+            raise ValueError(f"revocation limit {limit_s} must be positive")
+        self.is_strict = is_strict
+        self.limit_s = limit_s
+
+
 class GatewaySettings:
     """All settings of a gateway node.
 
@@ -95,6 +123,9 @@
             the node still accepts new requests.
         is_first_start: Whether no earlier process of any node has run.
         memory_bytes: Memory that the process may take.
+        max_descriptors: File descriptors that the process may open.
+        revocation: How fast withdrawn keys are no longer accepted.
+        features: Decisions that are switched on.
     """
 
     __slots__ = (
@@ -102,12 +133,15 @@
         "cluster_keys",
         "configuration_object",
         "failure_domain",
+        "features",
         "headers",
         "is_first_start",
+        "max_descriptors",
         "memory_bytes",
         "node_id",
         "ready_linger_s",
         "repeats",
+        "revocation",
         "seeds",
         "service",
         "stop_s",
@@ -129,6 +163,9 @@
         ready_linger_s: float,
         is_first_start: bool,
         memory_bytes: int,
+        max_descriptors: int = _DEFAULT_MAX_DESCRIPTORS,
+        revocation: RevocationSettings | None = None,
+        features: frozenset[Feature] = frozenset(),
     ) -> None:
         """Validates and stores the settings.
 
@@ -144,8 +181,10 @@
             raise ValueError(
                 "ready_linger_s must be positive and less than stop_s"
             )
-        if memory_bytes <= 0:
-            raise ValueError("memory_bytes must be positive")
+        if memory_bytes <= 0 or max_descriptors <= 0:
+            raise ValueError(
+                "memory_bytes and max_descriptors must be positive"
+            )
         self.node_id = node_id
         self.failure_domain = failure_domain
         self.service = service
@@ -159,3 +198,6 @@
         self.ready_linger_s = ready_linger_s
         self.is_first_start = is_first_start
         self.memory_bytes = memory_bytes
+        self.max_descriptors = max_descriptors
+        self.revocation = revocation or RevocationSettings()
+        self.features = features
--- /dev/null
+++ b/packages/overload/radishtray_overload/__init__.py
@@ -0,0 +1,5 @@
+"""Decisions under load, without I/O.
+
+Each decision takes observations and the time, and returns a verdict. Clocks and
+sources of randomness are passed in.
+"""
--- /dev/null
+++ b/packages/overload/radishtray_overload/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of radishtray_state."""
--- a/packages/protocol/radishtray_protocol/_gen/ttypes.py
+++ b/packages/protocol/radishtray_protocol/_gen/ttypes.py
@@ -317,6 +317,9 @@
      - key_first_send
      - fingerprint
      - crash_count
+     - organisation: Organisation that the first request of the chain belongs to.
+     - key_digest: Digest of the key that the request carried; absent on a call of a running
+    request.
 
     """
 
@@ -331,10 +334,12 @@
         'key_first_send',
         'fingerprint',
         'crash_count',
+        'organisation',
+        'key_digest',
     )
 
 
-    def __init__(self, request_id=None, priority_class=None, level=None, deadline_ms=None, retry_budget=None, depth=None, key=None, key_first_send=None, fingerprint=None, crash_count=None,):
+    def __init__(self, request_id=None, priority_class=None, level=None, deadline_ms=None, retry_budget=None, depth=None, key=None, key_first_send=None, fingerprint=None, crash_count=None, organisation=None, key_digest=None,):
         self.request_id = request_id
         self.priority_class = priority_class
         self.level = level
@@ -345,6 +350,8 @@
         self.key_first_send = key_first_send
         self.fingerprint = fingerprint
         self.crash_count = crash_count
+        self.organisation = organisation
+        self.key_digest = key_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -405,6 +412,16 @@
                     self.crash_count = iprot.readI16()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.key_digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -455,6 +472,14 @@
             oprot.writeFieldBegin('crash_count', TType.I16, 10)
             oprot.writeI16(self.crash_count)
             oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 11)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.key_digest is not None:
+            oprot.writeFieldBegin('key_digest', TType.STRING, 12)
+            oprot.writeBinary(self.key_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -725,6 +750,104 @@
         return not (self == other)
 
 
+class ServiceUse(object):
+    """
+    Attributes:
+     - service_name
+     - slot_us: Time in slots of the service, in microseconds.
+     - fill_percent: Busy share of the slots of the service, in percent.
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'slot_us',
+        'fill_percent',
+    )
+
+
+    def __init__(self, service_name=None, slot_us=None, fill_percent=None,):
+        self.service_name = service_name
+        self.slot_us = slot_us
+        self.fill_percent = fill_percent
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.slot_us = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I16:
+                    self.fill_percent = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceUse')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.slot_us is not None:
+            oprot.writeFieldBegin('slot_us', TType.I64, 2)
+            oprot.writeI64(self.slot_us)
+            oprot.writeFieldEnd()
+        if self.fill_percent is not None:
+            oprot.writeFieldBegin('fill_percent', TType.I16, 3)
+            oprot.writeI16(self.fill_percent)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.slot_us is None:
+            raise TProtocolException(message='Required field slot_us is unset!')
+        if self.fill_percent is None:
+            raise TProtocolException(message='Required field fill_percent is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Answer(object):
     """
     Attributes:
@@ -742,6 +865,10 @@
      - chain_threshold: Lowest rank whose calls further down are admitted, for calls of the same
     kind.
      - call_failed: Whether a call that the upstream made for the request failed.
+     - service_uses: What the request has used of services that are short of capacity,
+    including the calls made for it.
+     - learned_slots: Concurrent requests that the upstream takes well, as its node has
+    learned.
 
     """
 
@@ -759,10 +886,12 @@
         'detail',
         'chain_threshold',
         'call_failed',
+        'service_uses',
+        'learned_slots',
     )
 
 
-    def __init__(self, attempt_id=None, status=None, headers=None, body=None, retries_used=None, refusal=None, threshold=None, queue_ms=None, in_flight=None, crashed=None, detail=None, chain_threshold=None, call_failed=None,):
+    def __init__(self, attempt_id=None, status=None, headers=None, body=None, retries_used=None, refusal=None, threshold=None, queue_ms=None, in_flight=None, crashed=None, detail=None, chain_threshold=None, call_failed=None, service_uses=None, learned_slots=None,):
         self.attempt_id = attempt_id
         self.status = status
         self.headers = headers
@@ -776,6 +905,8 @@
         self.detail = detail
         self.chain_threshold = chain_threshold
         self.call_failed = call_failed
+        self.service_uses = service_uses
+        self.learned_slots = learned_slots
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -856,6 +987,22 @@
                     self.call_failed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.service_uses = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = ServiceUse()
+                        _elem25.read(iprot)
+                        self.service_uses.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.learned_slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -877,8 +1024,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.headers))
-            for iter20 in self.headers:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter26 in self.headers:
+                oprot.writeString(iter26.encode('utf-8') if sys.version_info[0] == 2 else iter26)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -921,6 +1068,17 @@
             oprot.writeFieldBegin('call_failed', TType.BOOL, 13)
             oprot.writeBool(self.call_failed)
             oprot.writeFieldEnd()
+        if self.service_uses is not None:
+            oprot.writeFieldBegin('service_uses', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.service_uses))
+            for iter27 in self.service_uses:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.learned_slots is not None:
+            oprot.writeFieldBegin('learned_slots', TType.I32, 15)
+            oprot.writeI32(self.learned_slots)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1059,10 +1217,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.attempt_ids = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readI64()
-                        self.attempt_ids.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readI64()
+                        self.attempt_ids.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1079,8 +1237,8 @@
         if self.attempt_ids is not None:
             oprot.writeFieldBegin('attempt_ids', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.attempt_ids))
-            for iter27 in self.attempt_ids:
-                oprot.writeI64(iter27)
+            for iter34 in self.attempt_ids:
+                oprot.writeI64(iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1234,11 +1392,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.states = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = AttemptState()
-                        _elem33.read(iprot)
-                        self.states.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = AttemptState()
+                        _elem40.read(iprot)
+                        self.states.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1255,8 +1413,8 @@
         if self.states is not None:
             oprot.writeFieldBegin('states', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.states))
-            for iter34 in self.states:
-                iter34.write(oprot)
+            for iter41 in self.states:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1539,11 +1697,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.sections = {}
-                    (_ktype36, _vtype37, _size35) = iprot.readMapBegin()
-                    for _i39 in range(_size35):
-                        _key40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val41 = iprot.readBinary()
-                        self.sections[_key40] = _val41
+                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
+                    for _i46 in range(_size42):
+                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val48 = iprot.readBinary()
+                        self.sections[_key47] = _val48
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1568,9 +1726,9 @@
         if self.sections is not None:
             oprot.writeFieldBegin('sections', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.sections))
-            for kiter42, viter43 in self.sections.items():
-                oprot.writeString(kiter42.encode('utf-8') if sys.version_info[0] == 2 else kiter42)
-                oprot.writeBinary(viter43)
+            for kiter49, viter50 in self.sections.items():
+                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
+                oprot.writeBinary(viter50)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1926,11 +2084,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = KeyRecord()
-                        _elem49.read(iprot)
-                        self.records.append(_elem49)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = KeyRecord()
+                        _elem56.read(iprot)
+                        self.records.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1955,8 +2113,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter50 in self.records:
-                iter50.write(oprot)
+            for iter57 in self.records:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2125,10 +2283,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.crash_ids = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = iprot.readI64()
-                        self.crash_ids.append(_elem56)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = iprot.readI64()
+                        self.crash_ids.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2157,8 +2315,8 @@
         if self.crash_ids is not None:
             oprot.writeFieldBegin('crash_ids', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.crash_ids))
-            for iter57 in self.crash_ids:
-                oprot.writeI64(iter57)
+            for iter64 in self.crash_ids:
+                oprot.writeI64(iter64)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2219,11 +2377,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = CrashSuspect()
-                        _elem63.read(iprot)
-                        self.suspects.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = CrashSuspect()
+                        _elem70.read(iprot)
+                        self.suspects.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2240,8 +2398,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter64 in self.suspects:
-                iter64.write(oprot)
+            for iter71 in self.suspects:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2271,65 +2429,22 @@
         return not (self == other)
 
 
-class Frame(object):
+class FreshnessQuery(object):
     """
+    Asks which version of the configuration is known to be current.
+
     Attributes:
-     - hello
-     - proof
-     - call
-     - answer
-     - cancel
-     - attempt_query
-     - attempt_states
-     - ping
-     - pong
-     - release_pull
-     - release_push
-     - slot_table_pull
-     - slot_table_push
-     - key_records
-     - key_records_ack
-     - crash_suspects
+     - sequence
 
     """
 
     __slots__ = (
-        'hello',
-        'proof',
-        'call',
-        'answer',
-        'cancel',
-        'attempt_query',
-        'attempt_states',
-        'ping',
-        'pong',
-        'release_pull',
-        'release_push',
-        'slot_table_pull',
-        'slot_table_push',
-        'key_records',
-        'key_records_ack',
-        'crash_suspects',
+        'sequence',
     )
 
 
-    def __init__(self, hello=None, proof=None, call=None, answer=None, cancel=None, attempt_query=None, attempt_states=None, ping=None, pong=None, release_pull=None, release_push=None, slot_table_pull=None, slot_table_push=None, key_records=None, key_records_ack=None, crash_suspects=None,):
-        self.hello = hello
-        self.proof = proof
-        self.call = call
-        self.answer = answer
-        self.cancel = cancel
-        self.attempt_query = attempt_query
-        self.attempt_states = attempt_states
-        self.ping = ping
-        self.pong = pong
-        self.release_pull = release_pull
-        self.release_push = release_push
-        self.slot_table_pull = slot_table_pull
-        self.slot_table_push = slot_table_push
-        self.key_records = key_records
-        self.key_records_ack = key_records_ack
-        self.crash_suspects = crash_suspects
+    def __init__(self, sequence=None,):
+        self.sequence = sequence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2341,25 +2456,551 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.hello = Hello()
-                    self.hello.read(iprot)
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FreshnessQuery')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FreshnessReply(object):
+    """
+    Attributes:
+     - sequence
+     - generation
+     - age_ms: Milliseconds since the platform is known to have held no later version;
+    absent if that is not known.
+
+    """
+
+    __slots__ = (
+        'sequence',
+        'generation',
+        'age_ms',
+    )
+
+
+    def __init__(self, sequence=None, generation=None, age_ms=None,):
+        self.sequence = sequence
+        self.generation = generation
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRUCT:
-                    self.proof = Proof()
-                    self.proof.read(iprot)
+                if ftype == TType.I64:
+                    self.generation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRUCT:
-                    self.call = Call()
-                    self.call.read(iprot)
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.STRUCT:
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FreshnessReply')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.generation is not None:
+            oprot.writeFieldBegin('generation', TType.I64, 2)
+            oprot.writeI64(self.generation)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.generation is None:
+            raise TProtocolException(message='Required field generation is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AllotmentShare(object):
+    """
+    Requests of one organisation that a node asks for or is granted.
+
+    Attributes:
+     - organisation
+     - requests: Requests asked for, or granted.
+     - regular: Of these, how many are within the organisation's regular share.
+     - retry_ms: Milliseconds until a further request may be granted.
+
+    """
+
+    __slots__ = (
+        'organisation',
+        'requests',
+        'regular',
+        'retry_ms',
+    )
+
+
+    def __init__(self, organisation=None, requests=None, regular=None, retry_ms=None,):
+        self.organisation = organisation
+        self.requests = requests
+        self.regular = regular
+        self.retry_ms = retry_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.regular = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.retry_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AllotmentShare')
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 1)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I32, 2)
+            oprot.writeI32(self.requests)
+            oprot.writeFieldEnd()
+        if self.regular is not None:
+            oprot.writeFieldBegin('regular', TType.I32, 3)
+            oprot.writeI32(self.regular)
+            oprot.writeFieldEnd()
+        if self.retry_ms is not None:
+            oprot.writeFieldBegin('retry_ms', TType.I32, 4)
+            oprot.writeI32(self.retry_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.organisation is None:
+            raise TProtocolException(message='Required field organisation is unset!')
+        if self.requests is None:
+            raise TProtocolException(message='Required field requests is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AllotmentRequest(object):
+    """
+    Attributes:
+     - sequence
+     - shares
+
+    """
+
+    __slots__ = (
+        'sequence',
+        'shares',
+    )
+
+
+    def __init__(self, sequence=None, shares=None,):
+        self.sequence = sequence
+        self.shares = shares
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.shares = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = AllotmentShare()
+                        _elem77.read(iprot)
+                        self.shares.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AllotmentRequest')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.shares is not None:
+            oprot.writeFieldBegin('shares', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.shares))
+            for iter78 in self.shares:
+                iter78.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.shares is None:
+            raise TProtocolException(message='Required field shares is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AllotmentGrant(object):
+    """
+    Attributes:
+     - sequence
+     - shares
+
+    """
+
+    __slots__ = (
+        'sequence',
+        'shares',
+    )
+
+
+    def __init__(self, sequence=None, shares=None,):
+        self.sequence = sequence
+        self.shares = shares
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.shares = []
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = AllotmentShare()
+                        _elem84.read(iprot)
+                        self.shares.append(_elem84)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AllotmentGrant')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.shares is not None:
+            oprot.writeFieldBegin('shares', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.shares))
+            for iter85 in self.shares:
+                iter85.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.shares is None:
+            raise TProtocolException(message='Required field shares is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Frame(object):
+    """
+    Attributes:
+     - hello
+     - proof
+     - call
+     - answer
+     - cancel
+     - attempt_query
+     - attempt_states
+     - ping
+     - pong
+     - release_pull
+     - release_push
+     - slot_table_pull
+     - slot_table_push
+     - key_records
+     - key_records_ack
+     - crash_suspects
+     - freshness_query
+     - freshness_reply
+     - allotment_request
+     - allotment_grant
+     - accepts_compression: Whether the sender reads compressed frames on this connection.
+     - compressed: Part of the compressed stream of frames of this connection.
+
+    """
+
+    __slots__ = (
+        'hello',
+        'proof',
+        'call',
+        'answer',
+        'cancel',
+        'attempt_query',
+        'attempt_states',
+        'ping',
+        'pong',
+        'release_pull',
+        'release_push',
+        'slot_table_pull',
+        'slot_table_push',
+        'key_records',
+        'key_records_ack',
+        'crash_suspects',
+        'freshness_query',
+        'freshness_reply',
+        'allotment_request',
+        'allotment_grant',
+        'accepts_compression',
+        'compressed',
+    )
+
+
+    def __init__(self, hello=None, proof=None, call=None, answer=None, cancel=None, attempt_query=None, attempt_states=None, ping=None, pong=None, release_pull=None, release_push=None, slot_table_pull=None, slot_table_push=None, key_records=None, key_records_ack=None, crash_suspects=None, freshness_query=None, freshness_reply=None, allotment_request=None, allotment_grant=None, accepts_compression=None, compressed=None,):
+        self.hello = hello
+        self.proof = proof
+        self.call = call
+        self.answer = answer
+        self.cancel = cancel
+        self.attempt_query = attempt_query
+        self.attempt_states = attempt_states
+        self.ping = ping
+        self.pong = pong
+        self.release_pull = release_pull
+        self.release_push = release_push
+        self.slot_table_pull = slot_table_pull
+        self.slot_table_push = slot_table_push
+        self.key_records = key_records
+        self.key_records_ack = key_records_ack
+        self.crash_suspects = crash_suspects
+        self.freshness_query = freshness_query
+        self.freshness_reply = freshness_reply
+        self.allotment_request = allotment_request
+        self.allotment_grant = allotment_grant
+        self.accepts_compression = accepts_compression
+        self.compressed = compressed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.hello = Hello()
+                    self.hello.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.proof = Proof()
+                    self.proof.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.call = Call()
+                    self.call.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
                     self.answer = Answer()
                     self.answer.read(iprot)
                 else:
@@ -2436,6 +3077,40 @@
                     self.crash_suspects.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.freshness_query = FreshnessQuery()
+                    self.freshness_query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.freshness_reply = FreshnessReply()
+                    self.freshness_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRUCT:
+                    self.allotment_request = AllotmentRequest()
+                    self.allotment_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.allotment_grant = AllotmentGrant()
+                    self.allotment_grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.BOOL:
+                    self.accepts_compression = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRING:
+                    self.compressed = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2510,6 +3185,30 @@
             oprot.writeFieldBegin('crash_suspects', TType.STRUCT, 16)
             self.crash_suspects.write(oprot)
             oprot.writeFieldEnd()
+        if self.freshness_query is not None:
+            oprot.writeFieldBegin('freshness_query', TType.STRUCT, 17)
+            self.freshness_query.write(oprot)
+            oprot.writeFieldEnd()
+        if self.freshness_reply is not None:
+            oprot.writeFieldBegin('freshness_reply', TType.STRUCT, 18)
+            self.freshness_reply.write(oprot)
+            oprot.writeFieldEnd()
+        if self.allotment_request is not None:
+            oprot.writeFieldBegin('allotment_request', TType.STRUCT, 19)
+            self.allotment_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.allotment_grant is not None:
+            oprot.writeFieldBegin('allotment_grant', TType.STRUCT, 20)
+            self.allotment_grant.write(oprot)
+            oprot.writeFieldEnd()
+        if self.accepts_compression is not None:
+            oprot.writeFieldBegin('accepts_compression', TType.BOOL, 21)
+            oprot.writeBool(self.accepts_compression)
+            oprot.writeFieldEnd()
+        if self.compressed is not None:
+            oprot.writeFieldBegin('compressed', TType.STRING, 22)
+            oprot.writeBinary(self.compressed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2849,11 +3548,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.updates = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = Member()
-                        _elem70.read(iprot)
-                        self.updates.append(_elem70)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = Member()
+                        _elem91.read(iprot)
+                        self.updates.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2865,11 +3564,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = CrashSuspect()
-                        _elem76.read(iprot)
-                        self.suspects.append(_elem76)
+                    (_etype95, _size92) = iprot.readListBegin()
+                    for _i96 in range(_size92):
+                        _elem97 = CrashSuspect()
+                        _elem97.read(iprot)
+                        self.suspects.append(_elem97)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2907,8 +3606,8 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter77 in self.updates:
-                iter77.write(oprot)
+            for iter98 in self.updates:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.generation is not None:
@@ -2918,8 +3617,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter78 in self.suspects:
-                iter78.write(oprot)
+            for iter99 in self.suspects:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.view_digest is not None:
@@ -2989,6 +3688,8 @@
     (8, TType.BOOL, 'key_first_send', None, None, ),  # 8
     (9, TType.I64, 'fingerprint', None, None, ),  # 9
     (10, TType.I16, 'crash_count', None, None, ),  # 10
+    (11, TType.STRING, 'organisation', 'UTF8', None, ),  # 11
+    (12, TType.STRING, 'key_digest', 'BINARY', None, ),  # 12
 )
 all_structs.append(Call)
 Call.thrift_spec = (
@@ -3006,6 +3707,13 @@
     (11, TType.BOOL, 'is_repeat', None, None, ),  # 11
     (12, TType.BOOL, 'is_crash_probe', None, None, ),  # 12
 )
+all_structs.append(ServiceUse)
+ServiceUse.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'slot_us', None, None, ),  # 2
+    (3, TType.I16, 'fill_percent', None, None, ),  # 3
+)
 all_structs.append(Answer)
 Answer.thrift_spec = (
     None,  # 0
@@ -3022,6 +3730,8 @@
     (11, TType.STRING, 'detail', 'UTF8', None, ),  # 11
     (12, TType.I16, 'chain_threshold', None, None, ),  # 12
     (13, TType.BOOL, 'call_failed', None, None, ),  # 13
+    (14, TType.LIST, 'service_uses', (TType.STRUCT, [ServiceUse, None], False), None, ),  # 14
+    (15, TType.I32, 'learned_slots', None, None, ),  # 15
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
@@ -3113,6 +3823,38 @@
     None,  # 0
     (1, TType.LIST, 'suspects', (TType.STRUCT, [CrashSuspect, None], False), None, ),  # 1
 )
+all_structs.append(FreshnessQuery)
+FreshnessQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+)
+all_structs.append(FreshnessReply)
+FreshnessReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.I64, 'generation', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(AllotmentShare)
+AllotmentShare.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'requests', None, None, ),  # 2
+    (3, TType.I32, 'regular', None, None, ),  # 3
+    (4, TType.I32, 'retry_ms', None, None, ),  # 4
+)
+all_structs.append(AllotmentRequest)
+AllotmentRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.LIST, 'shares', (TType.STRUCT, [AllotmentShare, None], False), None, ),  # 2
+)
+all_structs.append(AllotmentGrant)
+AllotmentGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.LIST, 'shares', (TType.STRUCT, [AllotmentShare, None], False), None, ),  # 2
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -3132,6 +3874,12 @@
     (14, TType.STRUCT, 'key_records', [KeyRecords, None], None, ),  # 14
     (15, TType.STRUCT, 'key_records_ack', [KeyRecordsAck, None], None, ),  # 15
     (16, TType.STRUCT, 'crash_suspects', [CrashSuspects, None], None, ),  # 16
+    (17, TType.STRUCT, 'freshness_query', [FreshnessQuery, None], None, ),  # 17
+    (18, TType.STRUCT, 'freshness_reply', [FreshnessReply, None], None, ),  # 18
+    (19, TType.STRUCT, 'allotment_request', [AllotmentRequest, None], None, ),  # 19
+    (20, TType.STRUCT, 'allotment_grant', [AllotmentGrant, None], None, ),  # 20
+    (21, TType.BOOL, 'accepts_compression', None, None, ),  # 21
+    (22, TType.STRING, 'compressed', 'BINARY', None, ),  # 22
 )
 all_structs.append(Member)
 Member.thrift_spec = (
--- a/packages/protocol/radishtray_protocol/wire.thrift
+++ b/packages/protocol/radishtray_protocol/wire.thrift
@@ -28,6 +28,11 @@
   8: optional bool key_first_send
   9: required i64 fingerprint
   10: required i16 crash_count
+  /** Organisation that the first request of the chain belongs to. */
+  11: optional string organisation
+  /** Digest of the key that the request carried; absent on a call of a running
+   *  request. */
+  12: optional binary key_digest
 }
 
 struct Call {
@@ -51,6 +56,14 @@
   12: optional bool is_crash_probe
 }
 
+struct ServiceUse {
+  1: required string service_name
+  /** Time in slots of the service, in microseconds. */
+  2: required i64 slot_us
+  /** Busy share of the slots of the service, in percent. */
+  3: required i16 fill_percent
+}
+
 struct Answer {
   1: required i64 attempt_id
   2: required i16 status
@@ -71,6 +84,12 @@
   12: optional i16 chain_threshold
   /** Whether a call that the upstream made for the request failed. */
   13: optional bool call_failed
+  /** What the request has used of services that are short of capacity,
+   *  including the calls made for it. */
+  14: optional list<ServiceUse> service_uses
+  /** Concurrent requests that the upstream takes well, as its node has
+   *  learned. */
+  15: optional i32 learned_slots
 }
 
 struct Cancel {
@@ -160,6 +179,40 @@
   1: required list<CrashSuspect> suspects
 }
 
+/** Asks which version of the configuration is known to be current. */
+struct FreshnessQuery {
+  1: required i64 sequence
+}
+
+struct FreshnessReply {
+  1: required i64 sequence
+  2: required i64 generation
+  /** Milliseconds since the platform is known to have held no later version;
+   *  absent if that is not known. */
+  3: optional i32 age_ms
+}
+
+/** Requests of one organisation that a node asks for or is granted. */
+struct AllotmentShare {
+  1: required string organisation
+  /** Requests asked for, or granted. */
+  2: required i32 requests
+  /** Of these, how many are within the organisation's regular share. */
+  3: optional i32 regular
+  /** Milliseconds until a further request may be granted. */
+  4: optional i32 retry_ms
+}
+
+struct AllotmentRequest {
+  1: required i64 sequence
+  2: required list<AllotmentShare> shares
+}
+
+struct AllotmentGrant {
+  1: required i64 sequence
+  2: required list<AllotmentShare> shares
+}
+
 struct Frame {
   1: optional Hello hello
   2: optional Proof proof
@@ -177,6 +230,14 @@
   14: optional KeyRecords key_records
   15: optional KeyRecordsAck key_records_ack
   16: optional CrashSuspects crash_suspects
+  17: optional FreshnessQuery freshness_query
+  18: optional FreshnessReply freshness_reply
+  19: optional AllotmentRequest allotment_request
+  20: optional AllotmentGrant allotment_grant
+  /** Whether the sender reads compressed frames on this connection. */
+  21: optional bool accepts_compression
+  /** Part of the compressed stream of frames of this connection. */
+  22: optional binary compressed
 }
 
 enum MemberState {
