--- /dev/null
+++ b/packages/organisations/radishtray_organisations/_allotment_owner.py
@@ -0,0 +1,197 @@
+"""Grants the allotments of organisations to the nodes that ask for them.
+
+One node owns the allotment of an organisation. It hands out tokens, each worth
+one request. A node may use a token for `TOKEN_LIFETIME_S`.
+
+In any window of W seconds one owner grants at most burst + rate * W tokens
+(see `_Bucket`), including those that are used after the window has begun.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
+from math import ceil, floor
+
+from radishtray_organisations._organisation import Organisation
+from radishtray_state import Clock
+
+TOKEN_LIFETIME_S = 0.5
+# A bucket that is new on this node, and one whose node did not run for a while,
+# starts with this share of its burst: another node may have granted meanwhile.
+_INITIAL_SHARE = 0.5
+# Share of the rate up to which tokens are regular.
+_REGULAR_SHARE = 0.75
+# A gap between two grants or ticks longer than this means that the process did
+# not run.
+_MAX_PAUSE_S = 0.75
+_MAX_REQUESTED = 10_000
+
+
+class Grant:
+    """Tokens granted to one node.
+
+    Attributes:
+        requests: Number of tokens.
+        regular: How many of them are within the regular share of the rate.
+        retry_s: Seconds until a further token may be granted.
+    """
+
+    __slots__ = ("regular", "requests", "retry_s")
+
+    def __init__(self, requests: int, regular: int, retry_s: float) -> None:
+        """Stores the numbers."""
+        self.requests = requests
+        self.regular = regular
+        self.retry_s = retry_s
+
+
+class _Bucket:
+    """Token bucket of one organisation.
+
+    Tokens are used up to `TOKEN_LIFETIME_S` after their grant, so that tokens
+    of rate * W + rate * lifetime + capacity may be used in a window of W
+    seconds. The capacity is therefore lower than the burst by rate * lifetime.
+
+    Attributes:
+        granted: Tokens granted so far.
+        denied: Tokens asked for and not granted so far.
+    """
+
+    __slots__ = (
+        "_burst",
+        "_rate_per_s",
+        "_regular_tokens",
+        "_tokens",
+        "_updated_at_s",
+        "denied",
+        "granted",
+    )
+
+    def __init__(self, organisation: Organisation, now_s: float) -> None:
+        self.granted = 0
+        self.denied = 0
+        self._updated_at_s = now_s
+        self._tokens = 0.0
+        self._regular_tokens = 0.0
+        self.set_limit(organisation)
+        self.restart(now_s)
+
+    def set_limit(self, organisation: Organisation) -> None:
+        self._rate_per_s = organisation.rate_per_s
+        reserved = self._rate_per_s * TOKEN_LIFETIME_S
+        self._burst = max(1.0, organisation.burst - reserved)
+        self._tokens = min(self._tokens, self._burst)
+
+    def restart(self, now_s: float) -> None:
+        """Forgets what has accumulated."""
+        self._updated_at_s = now_s
+        self._tokens = max(1.0, self._burst * _INITIAL_SHARE)
+        self._regular_tokens = self._tokens
+
+    def refill(self, now_s: float, scale: float) -> None:
+        gained = max(0.0, now_s - self._updated_at_s) * self._rate_per_s * scale
+        self._updated_at_s = now_s
+        self._tokens = min(self._burst, self._tokens + gained)
+        self._regular_tokens = min(
+            self._burst, self._regular_tokens + gained * _REGULAR_SHARE
+        )
+
+    def take(self, requested: int, scale: float) -> Grant:
+        """Grants up to the requested number of tokens."""
+        requests = min(requested, floor(self._tokens))
+        regular = max(0, min(requests, floor(self._regular_tokens)))
+        self._tokens -= requests
+        self._regular_tokens -= regular
+        self.granted += requests
+        self.denied += requested - requests
+        missing = max(0.0, requested - requests - self._tokens)
+        rate_per_s = max(self._rate_per_s * scale, 1e-3)
+        return Grant(requests, regular, missing / rate_per_s)
+
+
+class AllotmentOwner:
+    """Grants tokens of the organisations that this node owns.
+
+    Several nodes may take themselves for the owner while their views of the
+    fleet differ. Each then grants only the share of the rate that corresponds
+    to the share of the fleet that it sees.
+    """
+
+    __slots__ = ("_buckets", "_clock", "_last_run_s", "_limits", "_scale")
+
+    def __init__(self, clock: Clock, scale: Callable[[], float]) -> None:
+        """Starts without allotments.
+
+        Args:
+            clock: Time source.
+            scale: Returns the share of the fleet that this node sees, above 0
+                and at most 1.
+        """
+        self._clock = clock
+        self._scale = scale
+        self._limits: dict[str, Organisation] = {}
+        self._buckets: dict[str, _Bucket] = {}
+        self._last_run_s = clock.monotonic()
+
+    def apply(self, organisations: Iterable[Organisation]) -> None:
+        """Applies the limits of a new configuration."""
+        self._limits = {o.name: o for o in organisations if o.is_limited}
+        for name in list(self._buckets):
+            organisation = self._limits.get(name)
+            if organisation is None:
+                del self._buckets[name]
+            else:
+                self._buckets[name].set_limit(organisation)
+
+    def tick(self) -> None:
+        """Detects that the process did not run; call it about four times a s.
+
+        Another node has owned the allotments meanwhile, so what has accumulated
+        here is forgotten.
+        """
+        now_s = self._clock.monotonic()
+        if now_s - self._last_run_s > _MAX_PAUSE_S:
+            for bucket in self._buckets.values():
+                bucket.restart(now_s)
+        self._last_run_s = now_s
+
+    def grant(self, name: str, requested: int) -> Grant | None:
+        """Grants tokens of an organisation.
+
+        Args:
+            name: Name of the organisation.
+            requested: Number of tokens asked for.
+
+        Returns:
+            The grant, or None if the organisation has no allotment in the
+            configuration of this node.
+        """
+        self.tick()
+        organisation = self._limits.get(name)
+        if organisation is None:
+            return None
+        now_s = self._clock.monotonic()
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            bucket = self._buckets[name] = _Bucket(organisation, now_s)
+        scale = self._scale()
+        bucket.refill(now_s, scale)
+        return bucket.take(max(0, min(requested, _MAX_REQUESTED)), scale)
+
+    def usage(self) -> Iterator[tuple[str, float, int, int]]:
+        """Yields name, limit per second, granted and denied tokens."""
+        for name, bucket in self._buckets.items():
+            limit = self._limits[name].rate_per_s
+            yield name, limit, bucket.granted, bucket.denied
+
+
+def tokens_to_request(waiting: int, demand_per_s: float) -> int:
+    """Returns how many tokens a node asks for at once.
+
+    A node with much demand asks for what it needs until the tokens would
+    expire; one with little asks only for the requests that wait, since tokens
+    that expire unused are lost to the organisation.
+
+    >>> tokens_to_request(1, 0.5), tokens_to_request(1, 40)
+    (1, 11)
+    """
+    ahead = demand_per_s * TOKEN_LIFETIME_S / 2
+    return waiting + (ceil(ahead) if ahead >= 1 else 0)
--- a/packages/overload/radishtray_overload/tests/__init__.py
+++ b/packages/overload/radishtray_overload/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of radishtray_state."""
+"""Tests of radishtray_overload."""
