Organisations: keys, freshness and allotments, wired into the entry

Cause: nothing knew organisations; keys were passed on and limits not kept. Change: KeyRing, FreshnessGuard, AllotmentOwner and AllotmentLeases without I/O; drivers and a gate in node; organisations in the route table.

--- a/packages/coordination/radishtray_coordination/__init__.py
+++ b/packages/coordination/radishtray_coordination/__init__.py
@@ -4,7 +4,7 @@
 supply them with timers, platform calls and messages to other nodes.
 """
 
-from radishtray_coordination._candidates import candidate_rank
+from radishtray_coordination._candidates import candidate_rank, rank_candidates
 from radishtray_coordination._configuration_driver import (
     WATCHERS_PER_DOMAIN,
     ConfigurationCounters,
@@ -50,5 +50,6 @@
     "WatchableStore",
     "candidate_rank",
     "content_from_push",
+    "rank_candidates",
     "watcher_role",
 ]
--- a/packages/coordination/radishtray_coordination/_route_configuration.py
+++ b/packages/coordination/radishtray_coordination/_route_configuration.py
@@ -79,6 +79,8 @@
     __slots__ = (
         "_announced_at_s",
         "_backoff",
+        "_confirmed_generation",
+        "_confirmed_revision",
         "_decode",
         "_election",
         "_failed_pulls",
@@ -143,6 +145,9 @@
         self._pulls: dict[str, float] = {}
         self._failed_pulls = 0
         self._version: int | None = None
+        # Revision and version of the object as last seen by `confirm`.
+        self._confirmed_revision: int | None = None
+        self._confirmed_generation: int | None = None
         self._election = WatcherElection(membership)
         self._watch_anyway_at_s: float | None = None
         self._is_watching = False
@@ -174,6 +179,40 @@
         self._heartbeat_task.close()
         self._watch_task.close()
 
+    def confirm(self) -> "Deferred[int | None]":
+        """Asks the platform whether a later version exists, without waiting.
+
+        A later one is put in force.
+
+        Returns:
+            Fires with the latest version, or None if the platform did not
+            answer.
+        """
+        return Deferred.fromCoroutine(self._confirm())
+
+    async def _confirm(self) -> int | None:
+        if self._confirmed_revision is None:
+            found = await self._read()
+        else:
+            found = await await_result(
+                self._reactor,
+                self._store.watch(
+                    self._object_name, self._confirmed_revision, 0.0
+                ),
+                _READ_TIMEOUT_S,
+            )
+        if found.is_error():
+            self._confirmed_revision = None
+            return None
+        if found.ok is not None:
+            self._confirmed_revision = found.ok.version
+            decoded = self._decode(found.ok.value)
+            if decoded.is_error():
+                return None
+            self._confirmed_generation = decoded.ok.version
+            self._adopt(decoded.ok, None)
+        return self._confirmed_generation
+
     async def _watch_object(self) -> None:
         # A peer delivers the table within this time if one is reachable.
         await sleep(self._reactor, self._rng.uniform(*_FIRST_READ_DELAYS_S))
--- a/packages/node/radishtray_node/_forwarding.py
+++ b/packages/node/radishtray_node/_forwarding.py
@@ -192,6 +192,7 @@
         limit: Requests per second that the upstream takes, while it needs such
             a limit.
         leaving: Present in the responses of an upstream that is leaving.
+        organisation: Name of the organisation that the caller belongs to.
     """
 
     __slots__ = (
@@ -202,6 +203,7 @@
         "leaving",
         "limit",
         "not_run",
+        "organisation",
         "request_id",
         "signature",
     )
@@ -218,6 +220,7 @@
         instance: str,
         limit: str,
         leaving: str,
+        organisation: str = "Radishtray-Organisation",
     ) -> None:
         """Stores the names unchecked."""
         self.request_id = request_id
@@ -229,6 +232,7 @@
         self.instance = instance
         self.limit = limit
         self.leaving = leaving
+        self.organisation = organisation
 
     @property
     def set_by_nodes(self) -> frozenset[bytes]:
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -28,7 +28,9 @@
 from radishtray_node._local_upstream import LocalUpstream
 from radishtray_node._metrics import Metrics
 from radishtray_node._node_server import NodeServer
+from radishtray_node._organisations import Organisations
 from radishtray_node._peer_link import PeerLink
+from radishtray_node._reactor import uncached
 from radishtray_node._route_entry import CrashBlocklist, RouteEntry
 from radishtray_node._running_request import RunningRequests
 from radishtray_node._timers import TimerWheel
@@ -114,6 +116,7 @@
 
     __slots__ = (
         "_arrival_budget",
+        "_configuration",
         "_decode_table",
         "_ended_processes",
         "_fleet",
@@ -122,6 +125,7 @@
         "_listeners",
         "_node_listener",
         "_node_server",
+        "_organisations",
         "_periodic_calls",
         "_reactor",
         "_report_handler",
@@ -183,6 +187,7 @@
         self._is_draining = False
         self._stop_deadline_s = 0.0
         self._fleet: Fleet | None = None
+        self._configuration: RouteConfigurationDriver | None = None
         self._ended_processes = EndedProcesses()
         self._fleet_size = HeldMaximum(clock, _FLEET_SIZE_HOLD_S)
         self._service_size = HeldMaximum(clock, _FLEET_SIZE_HOLD_S)
@@ -199,6 +204,18 @@
             is_restart=not settings.is_first_start,
         )
         self._router = self._build_router()
+        self._organisations = Organisations(
+            clock,
+            uncached(clock),
+            self._timers,
+            settings.node_id,
+            settings.revocation,
+            lambda: self.fleet.membership,
+            self._fleet_share,
+            self.send_control,
+            self.metrics,
+        )
+        self._upstream_server.is_key_withdrawn = self._is_key_withdrawn
         self._arrival_budget = ArrivalBudget(
             self.clock,
             settings.repeats.ratio,
@@ -214,6 +231,10 @@
             settings.service,
             self._rng,
             DecisionLog(self.clock),
+            self._organisations.gate,
+            lambda organisation, refusal: self._organisations.count(
+                organisation, refusal.value if refusal else "answered"
+            ),
         )
         self._node_server = NodeServer(
             self.clock,
@@ -360,6 +381,10 @@
             configuration=self._configuration_source,
         )
         self._fleet.start()
+        assert self._configuration is not None
+        self._organisations.start(
+            self._reactor, self._configuration, self._fleet.membership
+        )
         _LOG.info(
             "node started",
             extra={
@@ -376,7 +401,7 @@
     def _configuration_source(
         self, membership: Membership, send: Any, pull: ReleasePuller
     ) -> ConfigurationSource:
-        return RouteConfigurationDriver(
+        self._configuration = RouteConfigurationDriver(
             self._reactor,
             self._rng,
             store=self._store,
@@ -387,6 +412,24 @@
             decode=self._decode_table,
             on_table=self._apply_table,
         )
+        return self._configuration
+
+    def _fleet_share(self) -> float:
+        """Returns the share of the fleet that this node sees."""
+        live = self.fleet.membership.live_count
+        return live / max(live, self._fleet_size.update(live))
+
+    def _is_key_withdrawn(self, call: wire.Call) -> bool:
+        """Returns whether the key of a call has been withdrawn meanwhile.
+
+        A configuration older than that of the sender may lack a new key.
+        """
+        digest = call.context.key_digest
+        return (
+            digest is not None
+            and self.entry.version >= call.generation
+            and not self._organisations.gate.holds(digest)
+        )
 
     @property
     def fleet(self) -> Fleet:
@@ -404,6 +447,7 @@
 
     def _apply_table(self, table: RouteTable) -> None:
         self._router.generation = table.version
+        self._organisations.apply(table)
         self.entry.apply(table)
         limits = self._listeners[0][0].limits
         limits.head_bytes = table.limits.head_bytes
@@ -463,7 +507,10 @@
     def _on_control_frame(
         self, connection: NodeConnection, frame: wire.Frame
     ) -> None:
-        if frame.release_pull is not None:
+        reply = self._organisations.handle_frame(frame)
+        if reply is not None:
+            connection.send(reply)
+        elif frame.release_pull is not None:
             connection.send(self.fleet.answer_release_pull(frame.release_pull))
         elif frame.crash_suspects is not None:
             self.crash_tally.merge(
@@ -476,6 +523,10 @@
                 for suspect in frame.crash_suspects.suspects
             )
 
+    def _on_link_control(self, frame: wire.Frame) -> None:
+        """Handles the replies to the frames of organisations."""
+        self._organisations.handle_frame(frame)
+
     def _create_link(self, node_id: str) -> PeerLink | None:
         address = self.fleet.node_address(node_id)
         if address is None:
@@ -487,8 +538,7 @@
             self.identity,
             self.attempt_sequence,
             self.settings.cluster_keys,
-            # No frame that a gateway sends over a link has a reply.
-            lambda _frame: None,
+            self._on_link_control,
             self._on_peer_verified,
             lambda reason: self.metrics.rejected_connections.labels(
                 reason
@@ -613,6 +663,7 @@
 
     def _run_housekeeping(self) -> None:
         self._node_server.tick()
+        self._organisations.tick()
         self.upstream.check_heartbeat()
         self._update_fleet_size()
         self._announce_failures()
@@ -701,6 +752,7 @@
         for loop, _ in self._periodic_calls:
             if loop.running:
                 loop.stop()
+        self._organisations.close()
         if self._fleet is not None:
             self._fleet.close()
         for server, _, _ in self._listeners:
--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -238,6 +238,10 @@
             self._release_slot()
             self._refuse(RefusalReason.NO_UPSTREAM)
             return
+        if server.is_key_withdrawn(self._call):
+            self._release_slot()
+            self._refuse(RefusalReason.UNAUTHENTICATED)
+            return
         self._phase = _Phase.RUNNING
         self._process = process
         now_s = server.clock.monotonic()
--- a/packages/node/radishtray_node/_metrics.py
+++ b/packages/node/radishtray_node/_metrics.py
@@ -3,7 +3,7 @@
 Stage latencies are kept in HDR histograms and exported as quantiles.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, generate_latest
@@ -22,6 +22,10 @@
 _QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
 
+ReadLabelledValues = Callable[[], Iterable[tuple[Sequence[str], float]]]
+"""Returns the label values and the value of each series of a gauge."""
+
+
 class _LatencyCollector(Collector):
     """Exports histograms in microseconds as summaries in seconds."""
 
@@ -59,15 +63,24 @@
 class _GaugeCollector(Collector):
     """Gauges whose values are read at each scrape."""
 
-    __slots__ = ("gauges",)
+    __slots__ = ("gauges", "labelled_gauges")
 
     def __init__(self) -> None:
         self.gauges: dict[str, tuple[str, Callable[[], float]]] = {}
+        self.labelled_gauges: dict[
+            str, tuple[str, Sequence[str], ReadLabelledValues]
+        ] = {}
 
     def collect(self) -> Iterator[Metric]:
         """Yields the current value of each gauge."""
         for name, (description, read_value) in self.gauges.items():
             yield GaugeMetricFamily(name, description, value=read_value())
+        for name, labelled in self.labelled_gauges.items():
+            description, labels, read_values = labelled
+            family = GaugeMetricFamily(name, description, labels=labels)
+            for label_values, value in read_values():
+                family.add_metric(label_values, value)
+            yield family
 
 
 class StageTimer:
@@ -125,6 +138,7 @@
         response_faults: Faults in what the upstream sent, by kind.
         mismatched_answers: Answers of nodes that were not delivered because
             they state the id of another request.
+        organisation_requests: Requests of organisations, by outcome.
     """
 
     __slots__ = (
@@ -135,6 +149,7 @@
         "first_attempts",
         "key_redirects",
         "mismatched_answers",
+        "organisation_requests",
         "refusals",
         "refusals_delivered",
         "rejected_connections",
@@ -220,6 +235,12 @@
             "Answers that were dropped: they state another request's id.",
             registry=registry,
         )
+        self.organisation_requests = Counter(
+            "radishtray_organisation_requests",
+            "Requests of organisations by outcome.",
+            ["organisation", "outcome"],
+            registry=registry,
+        )
         for fault in ResponseFault:
             self.response_faults.labels(fault.value)
         self._refusal_counters = {
@@ -258,6 +279,23 @@
         """Registers a gauge whose value is read at each scrape."""
         self._gauge_collector.gauges[name] = (description, read_value)
 
+    def add_labelled_gauge(
+        self,
+        name: str,
+        description: str,
+        labels: Sequence[str],
+        read_values: ReadLabelledValues,
+    ) -> None:
+        """Registers a gauge with labels, whose series are read at each scrape.
+
+        The caller bounds the number of series.
+        """
+        self._gauge_collector.labelled_gauges[name] = (
+            description,
+            labels,
+            read_values,
+        )
+
     def exposition(self) -> bytes:
         """Returns all metrics in the text exposition format."""
         return bytes(generate_latest(self._registry))
--- /dev/null
+++ b/packages/node/radishtray_node/_organisations.py
@@ -0,0 +1,211 @@
+"""The parts of a node that serve a configuration with organisations."""
+
+from collections.abc import Callable
+from typing import Any
+
+from radishtray_coordination import rank_candidates
+from radishtray_node._allotment_driver import AllotmentDriver
+from radishtray_node._freshness_driver import (
+    ConfirmationSource,
+    FreshnessDriver,
+)
+from radishtray_node._gateway_settings import RevocationSettings
+from radishtray_node._metrics import Metrics
+from radishtray_node._organisation_gate import OrganisationGate
+from radishtray_node._organisation_metrics import OrganisationMetrics
+from radishtray_node._timers import TimerWheel
+from radishtray_organisations import (
+    AllotmentOwner,
+    FreshnessGuard,
+    KeyAges,
+)
+from radishtray_protocol import RouteTable, wire
+from radishtray_state import Clock, Membership, MemberState
+
+_FRESHNESS_ROLE = "configuration-freshness"
+_FRESHNESS_CANDIDATES_PER_DOMAIN = 6
+_OWNER_ROLE = "allotment-owner"
+_OWNER_CANDIDATES = 8
+_CANDIDATES_TTL_S = 0.5
+
+
+class _Candidates:
+    """Ids of the members that compete for a role, computed now and then."""
+
+    __slots__ = ("_clock", "_compute", "_expires_at_s", "_nodes")
+
+    def __init__(self, clock: Clock, compute: Callable[[], list[str]]) -> None:
+        self._clock = clock
+        self._compute = compute
+        self._nodes: list[str] = []
+        self._expires_at_s = -1.0
+
+    def __call__(self) -> list[str]:
+        now_s = self._clock.monotonic()
+        if now_s >= self._expires_at_s:
+            self._nodes = self._compute()
+            self._expires_at_s = now_s + _CANDIDATES_TTL_S
+        return self._nodes
+
+
+class Organisations:
+    """Keys, freshness and allotments on one node.
+
+    Attributes:
+        gate: Identifies callers at the entry.
+    """
+
+    __slots__ = (
+        "_allotments",
+        "_clock",
+        "_freshness",
+        "_guard",
+        "_key_ages",
+        "_metrics",
+        "_node_id",
+        "_owner",
+        "_send",
+        "_settings",
+        "gate",
+    )
+
+    def __init__(
+        self,
+        clock: Clock,
+        uncached_clock: Clock,
+        timers: TimerWheel,
+        node_id: str,
+        settings: RevocationSettings,
+        membership: Callable[[], Membership],
+        fleet_share: Callable[[], float],
+        send: Callable[[str, wire.Frame], bool],
+        metrics: Metrics,
+    ) -> None:
+        """Builds the parts; `start` begins to ask for confirmations.
+
+        Args:
+            clock: Time source.
+            uncached_clock: Time source that is read at each check.
+            timers: Timers of requests for tokens.
+            node_id: Id of this node.
+            settings: How fast withdrawn keys are no longer accepted.
+            membership: Returns the view of the fleet; only called after the
+                node's start.
+            fleet_share: Returns the share of the fleet that this node sees.
+            send: Sends a control frame to a node.
+            metrics: Metrics of this node.
+        """
+        self._clock = uncached_clock
+        self._node_id = node_id
+        self._settings = settings
+        self._send = send
+        self._guard = FreshnessGuard(uncached_clock, settings.limit_s)
+        self._owner = AllotmentOwner(clock, fleet_share)
+        self._allotments = AllotmentDriver(
+            clock,
+            timers,
+            node_id,
+            self._owner,
+            _Candidates(clock, lambda: _owner_candidates(membership())),
+            send,
+        )
+        self.gate = OrganisationGate(
+            self._guard if settings.is_strict else None,
+            self._allotments.leases,
+        )
+        self._key_ages = KeyAges(clock)
+        self._metrics = OrganisationMetrics(
+            metrics, self._guard, self._owner, self._key_ages
+        )
+        self._freshness: FreshnessDriver | None = None
+
+    def start(
+        self, reactor: Any, source: ConfirmationSource, membership: Membership
+    ) -> None:
+        """Starts to confirm the configuration where that is strict.
+
+        Args:
+            reactor: Schedules the checks.
+            source: The platform.
+            membership: The view of the fleet.
+        """
+        if not self._settings.is_strict:
+            return
+        self._freshness = FreshnessDriver(
+            reactor,
+            self._clock,
+            self._guard,
+            self._node_id,
+            source,
+            _Candidates(self._clock, lambda: _freshness_candidates(membership)),
+            self._send,
+        )
+        self._freshness.is_needed = self.gate.has_organisations
+        self._freshness.start()
+
+    def close(self) -> None:
+        """Stops the confirmations."""
+        if self._freshness is not None:
+            self._freshness.close()
+
+    def apply(self, table: RouteTable) -> None:
+        """Applies the organisations of a new configuration."""
+        self.gate.apply(table)
+        self._owner.apply(table.keys)
+        self._key_ages.update(table.keys)
+        self._metrics.apply(table.keys)
+        self._guard.apply(table.version)
+        if self._freshness is not None:
+            self._freshness.is_needed = self.gate.has_organisations
+
+    def tick(self) -> None:
+        """Drops what is no longer needed; call it about once a second."""
+        self._allotments.tick()
+
+    def count(self, organisation: str, outcome: str) -> None:
+        """Counts a request of an organisation."""
+        self._metrics.count(organisation, outcome)
+
+    def handle_frame(self, frame: wire.Frame) -> wire.Frame | None:
+        """Handles a frame of another node and returns the reply, if any."""
+        if frame.freshness_query is not None and self._freshness is not None:
+            return self._freshness.answer(frame.freshness_query)
+        if frame.freshness_reply is not None and self._freshness is not None:
+            self._freshness.handle_reply(frame.freshness_reply)
+        elif frame.allotment_request is not None:
+            return self._allotments.answer(frame.allotment_request)
+        elif frame.allotment_grant is not None:
+            self._allotments.handle_grant(frame.allotment_grant)
+        return None
+
+
+def _owner_candidates(membership: Membership) -> list[str]:
+    return [
+        member.node_id
+        for member in rank_candidates(
+            (
+                member
+                for member in membership.members()
+                if member.state is MemberState.ALIVE
+            ),
+            _OWNER_ROLE,
+            _OWNER_CANDIDATES,
+        )
+    ]
+
+
+def _freshness_candidates(membership: Membership) -> list[str]:
+    domain = membership.own_record.failure_domain
+    return [
+        member.node_id
+        for member in rank_candidates(
+            (
+                member
+                for member in membership.members()
+                if member.failure_domain == domain
+                and member.state is MemberState.ALIVE
+            ),
+            _FRESHNESS_ROLE,
+            _FRESHNESS_CANDIDATES_PER_DOMAIN,
+        )
+    ]
--- a/packages/node/radishtray_node/_reactor.py
+++ b/packages/node/radishtray_node/_reactor.py
@@ -26,6 +26,11 @@
         self._clock = clock
         self._now_s = clock.monotonic()
 
+    @property
+    def source(self) -> Clock:
+        """The clock that is cached."""
+        return self._clock
+
     def refresh(self) -> None:
         """Reads the clock; must be called after each wait for events."""
         self._now_s = self._clock.monotonic()
@@ -39,6 +44,14 @@
         return self._clock.wall_ms()
 
 
+def uncached(clock: Clock) -> Clock:
+    """Returns a clock that is read at each call.
+
+    A process may be frozen within an iteration of the event loop.
+    """
+    return clock.source if isinstance(clock, LoopClock) else clock
+
+
 class _RefreshingPoller:
     """Wraps an epoll object to refresh a `LoopClock` after each wait."""
 
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -14,8 +14,15 @@
 from radishtray_node._call_router import CallRouter
 from radishtray_node._decision_log import DecisionLog
 from radishtray_node._forwarding import HOST_HEADER, HeaderNames
+from radishtray_node._organisation_gate import (
+    ANONYMOUS,
+    AUTHORIZATION_HEADER,
+    CallerIdentity,
+    OrganisationGate,
+)
 from radishtray_node._request_parts import forwarded_headers
 from radishtray_node._routed_call import RoutedCall, RoutedRequest
+from radishtray_organisations import TokenVerdict, TokenWait
 from radishtray_protocol import Route, RouteTable
 from radishtray_state import (
     FIRST_LEVELS,
@@ -43,6 +50,8 @@
 # Share of requests that are sent although their calls are expected to be
 # refused, to detect when the overload ends.
 _PROBE_SHARE = 0.01
+# Levels, from 0, of requests beyond the regular share of their organisation.
+_EXCESS_LEVELS = 8
 
 
 class CrashBlocklist:
@@ -89,10 +98,13 @@
         "_caller_timeout_s",
         "_entry",
         "_http",
+        "_identity",
         "_parent",
         "_request_id",
         "_route",
         "_started_s",
+        "_token",
+        "_token_wait",
     )
 
     def __init__(
@@ -104,7 +116,11 @@
         caller_timeout_s: float,
         started_s: float,
         parent: ParentRequest | None,
+        identity: CallerIdentity,
     ) -> None:
+        self._identity = identity
+        self._token: TokenVerdict | None = None
+        self._token_wait: TokenWait | None = None
         self._entry = entry
         self._parent = parent
         self._http = http
@@ -115,15 +131,60 @@
         self._call: RoutedCall | None = None
 
     def start(self, call: RoutedCall) -> None:
-        """Starts the call and cancels it if the caller disconnects."""
+        """Starts the call and cancels it if the caller disconnects.
+
+        A request of an organisation with an allotment first takes a token.
+        """
         self._call = call
         self._http.on_disconnect = self._on_disconnect
         if self._parent is not None:
             self._parent.open_calls += 1
-        call.start()
+        if self._identity.is_limited:
+            self._token_wait = self._entry.gate.acquire(
+                self._identity, self._on_token
+            )
+        else:
+            call.start()
+
+    def _on_token(self, token: TokenVerdict) -> None:
+        self._token_wait = None
+        call = self._call
+        if call is None:
+            return
+        if token.is_granted:
+            self._token = token
+            if not token.is_regular:
+                call.lower_level(self._entry.draw_excess_level())
+            call.start()
+            return
+        reason = (
+            RefusalReason.ALLOTMENT_EXHAUSTED
+            if token.is_answered
+            else RefusalReason.ALLOTMENT_UNKNOWN
+        )
+        self._entry.router.metrics.count_refusal(reason)
+        call.cancel()
+        self.finish(CallResult.refused(reason), token.retry_s)
+
+    def _return_token(self, refusal: RefusalReason | None) -> None:
+        """Returns the token of a request that has not run."""
+        token, self._token = self._token, None
+        if token is not None and refusal is not None and refusal.is_not_run:
+            self._entry.gate.release(self._identity, token)
 
-    def finish(self, result: CallResult) -> None:
-        """Answers the caller."""
+    def finish(self, result: CallResult, retry_s: float | None = None) -> None:
+        """Answers the caller.
+
+        Args:
+            result: The result of the request.
+            retry_s: Seconds after which a refused request may come again; None
+                to choose it by the reason.
+        """
+        self._return_token(result.refusal)
+        if self._identity.organisation:
+            self._entry.count_organisation(
+                self._identity.organisation, result.refusal
+            )
         # Breaks the reference cycle, so that both are freed without a garbage
         # collection.
         self._call = None
@@ -146,7 +207,10 @@
             entry.version,
         )
         entry.refuse(
-            self._http, result.refusal, self._caller_timeout_s - held_s
+            self._http,
+            result.refusal,
+            self._caller_timeout_s - held_s,
+            retry_s,
         )
 
     def _end_call(self, *, has_failed: bool) -> None:
@@ -168,6 +232,8 @@
         self._entry.exchanges.discard(self)
         self._end_call(has_failed=True)
         self._entry.log.log_caller_left(self._request_id, self._route.name)
+        if self._token_wait is not None:
+            self._token_wait.cancel()
         if self._call is not None:
             self._call.cancel()
 
@@ -184,10 +250,14 @@
         log: Log of refusals, failures and disconnected callers.
         timer: Records the time from a request's arrival to its answer.
         exchanges: Requests that have not been answered.
+        gate: Identifies callers by the keys of organisations.
+        count_organisation: Counts a request of an organisation, by name, and
+            why it was refused, if it was.
     """
 
     __slots__ = (
         "_header_names",
+        "_headers_about_organisations",
         "_headers_set_by_nodes",
         "_rng",
         "_route_counters",
@@ -196,8 +266,10 @@
         "_table",
         "arrival_budget",
         "chains",
+        "count_organisation",
         "crash_blocklist",
         "exchanges",
+        "gate",
         "log",
         "rejections",
         "router",
@@ -214,6 +286,8 @@
         service: str,
         rng: random.Random,
         log: DecisionLog,
+        gate: OrganisationGate,
+        count_organisation: Callable[[str, RefusalReason | None], None],
     ) -> None:
         """Starts without a configuration.
 
@@ -226,7 +300,12 @@
             service: Service on this VM, which upstreams see as the caller.
             rng: Source of levels and jitter.
             log: Log of refusals, failures and disconnected callers.
+            gate: Identifies callers by the keys of organisations.
+            count_organisation: Counts a request of an organisation, by name,
+                and why it was refused, if it was.
         """
+        self.gate = gate
+        self.count_organisation = count_organisation
         self.router = router
         self.arrival_budget = arrival_budget
         self.crash_blocklist = crash_blocklist
@@ -237,6 +316,10 @@
         self.exchanges: set[_Exchange] = set()
         self._header_names = header_names
         self._headers_set_by_nodes = header_names.set_by_nodes
+        self._headers_about_organisations = header_names.set_by_nodes | {
+            AUTHORIZATION_HEADER,
+            header_names.organisation.lower().encode(),
+        }
         self._service = service
         self._rng = rng
         self._table: RouteTable | None = None
@@ -327,11 +410,25 @@
         received_s = self.router.clock.monotonic() - http.waited_s
         request_id = http.header(self._header_names.request_id.encode()) or b""
         caller_timeout_s = self._caller_timeout_s(http, route)
+        parent = self.chains.find_parent(request_id, route.name)
+        # Calls of a running request carry no key.
+        identity = ANONYMOUS if parent else self.gate.identify(http, route)
+        if isinstance(identity, RefusalReason):
+            self._refuse_unidentified(
+                http, identity, route, request_id, caller_timeout_s
+            )
+            return
         service = self._split_round_robins[route.name].next_service()
         self._count_request(route.name)
-        parent = self.chains.find_parent(request_id, route.name)
         exchange = _Exchange(
-            self, http, route, request_id, caller_timeout_s, received_s, parent
+            self,
+            http,
+            route,
+            request_id,
+            caller_timeout_s,
+            received_s,
+            parent,
+            identity,
         )
         self.exchanges.add(exchange)
         method = http.method.decode("latin-1")
@@ -339,14 +436,15 @@
             request_id,
             method,
             uri,
-            self._upstream_headers(http, host),
+            self._upstream_headers(http, host, identity),
             http.body,
             # Without the service, since the route may change or be split.
             fingerprint("", method + host, uri, http.body),
-            parent.priority_class if parent else route.priority_class,
+            _priority_class(parent, identity, route),
             parent.call_level if parent else self._rng.randrange(FIRST_LEVELS),
             has_parent=parent is not None,
             is_repeat=parent is not None and parent.is_repeat,
+            identity=identity,
         )
         exchange.start(
             RoutedCall(
@@ -360,6 +458,29 @@
             )
         )
 
+    def _refuse_unidentified(
+        self,
+        http: HttpRequest,
+        reason: RefusalReason,
+        route: Route,
+        request_id: bytes,
+        left_s: float,
+    ) -> None:
+        metrics = self.router.metrics
+        metrics.count_refusal(reason)
+        metrics.count_delivered_refusal(reason)
+        self.log.log_unanswered(
+            request_id, route.name, reason, 0.0, self.version
+        )
+        self.refuse(http, reason, left_s)
+
+    def draw_excess_level(self) -> int:
+        """Returns a level for a request beyond the share of its organisation.
+
+        Requests of other organisations take precedence over it.
+        """
+        return self._rng.randrange(_EXCESS_LEVELS)
+
     def _count_request(self, route: str) -> None:
         counter = self._route_counters.get(route)
         if counter is None:
@@ -400,34 +521,72 @@
             )
             return route.timeout_s
 
-    def _upstream_headers(self, http: HttpRequest, host: str) -> list[str]:
+    def _upstream_headers(
+        self, http: HttpRequest, host: str, identity: CallerIdentity
+    ) -> list[str]:
+        names = self._header_names
+        dropped = (
+            self._headers_about_organisations
+            if self.gate.has_organisations
+            else self._headers_set_by_nodes
+        )
         headers = [HOST_HEADER, host]
         forwarded = forwarded_headers(http)
         for name, value in zip(forwarded[::2], forwarded[1::2], strict=True):
-            if name.lower().encode("latin-1") not in self._headers_set_by_nodes:
+            if name.lower().encode("latin-1") not in dropped:
                 headers += (name, value)
-        headers += (self._header_names.caller_service, self._service)
+        headers += (names.caller_service, self._service)
+        if identity.organisation:
+            headers += (names.organisation, identity.organisation)
         return headers
 
     def refuse(
-        self, http: HttpRequest, reason: RefusalReason, left_s: float
+        self,
+        http: HttpRequest,
+        reason: RefusalReason,
+        left_s: float,
+        retry_s: float | None = None,
     ) -> None:
         """Answers a request with a refusal.
 
-        Only a request that has not run is answered with 503 and Retry-After.
+        Only a request that has not run is answered with 429 or 503 and
+        Retry-After.
 
         Args:
             http: The request.
             reason: Why no upstream answered it.
             left_s: Seconds that the caller still waits for an answer.
+            retry_s: Seconds after which the request may come again; None for a
+                random delay.
         """
         if not reason.is_not_run:
             status = 504 if reason is RefusalReason.DEADLINE_RUNNING else 502
             http.respond(status, [], f"{reason.text}\n".encode())
             return
-        retry_after_s = min(
-            self._rng.uniform(_MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S),
-            left_s * _RETRY_AFTER_MAX_SHARE,
-        )
+        text = f"{reason.text}\n".encode()
+        if reason is RefusalReason.UNAUTHENTICATED:
+            http.respond(reason.http_status, [], text)
+            return
+        if reason is RefusalReason.ALLOTMENT_EXHAUSTED and retry_s is not None:
+            # The jitter keeps the requests of an organisation from coming
+            # again together for the same few tokens.
+            retry_after_s = retry_s + self._rng.random() * _MAX_RETRY_AFTER_S
+        else:
+            retry_after_s = min(
+                self._rng.uniform(_MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S),
+                left_s * _RETRY_AFTER_MAX_SHARE,
+            )
         headers = ["Retry-After", f"{max(retry_after_s, 0.0):.3f}"]
-        http.respond(503, headers, f"{reason.text}\n".encode())
+        status = 429 if reason is RefusalReason.ALLOTMENT_EXHAUSTED else 503
+        http.respond(status, headers, text)
+
+
+def _priority_class(
+    parent: ParentRequest | None, identity: CallerIdentity, route: Route
+) -> int:
+    """Returns the class of a request; that of an organisation comes first."""
+    if parent is not None:
+        return parent.priority_class
+    if identity.priority_class is not None:
+        return identity.priority_class
+    return route.priority_class
--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from radishtray_node._call_result import CallResult
+from radishtray_node._organisation_gate import ANONYMOUS, CallerIdentity
 from radishtray_node._sent_attempt import SendFailure, SentAttempt
 from radishtray_node._timers import Timer
 from radishtray_protocol import Route, wire
@@ -55,6 +56,7 @@
         RefusalReason.CANCELLED_QUEUED,
         RefusalReason.CANCELLED_RUNNING,
         RefusalReason.DEADLINE_RUNNING,
+        RefusalReason.UNAUTHENTICATED,
     )
 )
 
@@ -73,6 +75,7 @@
         has_parent: Whether the request is made for a running request.
         is_repeat: Whether the parent may have been run before, so that this
             request counts as a repeat.
+        identity: Whom the request belongs to.
         fingerprint: Digest of the request's content.
     """
 
@@ -81,6 +84,7 @@
         "fingerprint",
         "has_parent",
         "headers",
+        "identity",
         "is_repeat",
         "level",
         "method",
@@ -102,8 +106,10 @@
         *,
         has_parent: bool = False,
         is_repeat: bool = False,
+        identity: CallerIdentity = ANONYMOUS,
     ) -> None:
         """Stores the parts of a request."""
+        self.identity = identity
         self.priority_class = priority_class
         self.has_parent = has_parent
         self.is_repeat = is_repeat
@@ -194,6 +200,10 @@
         request = self._request
         return request.priority_class * LEVELS_PER_CLASS + request.level
 
+    def lower_level(self, level: int) -> None:
+        """Lowers the level of a request that has not been sent."""
+        self._request.level = min(self._request.level, level)
+
     def start(self) -> None:
         """Sends the first attempt, or sheds the request."""
         entry = self._entry
@@ -221,6 +231,13 @@
         if is_blocked and not blocklist.claim_probe(self._request.fingerprint):
             self._finish_refused(RefusalReason.CRASH_SUSPECT)
             return
+        refusal = self._entry.gate.refusal_at_send(
+            self._request.identity.key_digest
+        )
+        if refusal is not None:
+            router.metrics.count_refusal(refusal)
+            self._finish_refused(refusal)
+            return
         chosen = preferred or self._choose_node()
         if isinstance(chosen, RefusalReason):
             router.metrics.count_refusal(chosen)
@@ -277,6 +294,8 @@
                 depth=0,
                 fingerprint=request.fingerprint,
                 crash_count=0,
+                organisation=request.identity.organisation or None,
+                key_digest=request.identity.key_digest or None,
             ),
             generation=self._version,
             repeatable=self.route.is_repeatable,
--- a/packages/node/radishtray_node/_upstream_server.py
+++ b/packages/node/radishtray_node/_upstream_server.py
@@ -53,6 +53,8 @@
         on_leaving: Called with each response that says that the upstream is
             leaving.
         is_draining: Whether new calls are refused.
+        is_key_withdrawn: Returns whether the organisations' keys in force no
+            longer contain that of a call.
     """
 
     __slots__ = (
@@ -66,6 +68,7 @@
         "failures",
         "forwarding",
         "is_draining",
+        "is_key_withdrawn",
         "key_owner",
         "metrics",
         "on_failure",
@@ -135,6 +138,7 @@
         self.service_timer = metrics.create_stage_timer("upstream")
         self.running_calls: set[IncomingCall] = set()
         self.is_draining = False
+        self.is_key_withdrawn: Callable[[wire.Call], bool] = lambda _call: False
         self._unfinished_calls = 0
         self._is_expiry_scheduled = False
         self._last_success_s = 0.0
--- a/packages/organisations/radishtray_organisations/__init__.py
+++ b/packages/organisations/radishtray_organisations/__init__.py
@@ -3,3 +3,41 @@
 The package has no I/O. Clocks, sources of randomness and functions that send
 are passed in.
 """
+
+from radishtray_organisations._allotment_leases import (
+    AllotmentLeases,
+    TokenVerdict,
+    TokenWait,
+)
+from radishtray_organisations._allotment_owner import (
+    TOKEN_LIFETIME_S,
+    AllotmentOwner,
+    Grant,
+    tokens_to_request,
+)
+from radishtray_organisations._freshness import (
+    FreshnessGuard,
+    FreshnessSchedule,
+    FreshnessSource,
+)
+from radishtray_organisations._key_ages import KeyAges
+from radishtray_organisations._key_ring import KeyRing, parse_bearer
+from radishtray_organisations._organisation import Organisation, digest_key
+
+__all__ = [
+    "TOKEN_LIFETIME_S",
+    "AllotmentLeases",
+    "AllotmentOwner",
+    "FreshnessGuard",
+    "FreshnessSchedule",
+    "FreshnessSource",
+    "Grant",
+    "KeyAges",
+    "KeyRing",
+    "Organisation",
+    "TokenVerdict",
+    "TokenWait",
+    "digest_key",
+    "parse_bearer",
+    "tokens_to_request",
+]
--- a/packages/protocol/radishtray_protocol/_routes.py
+++ b/packages/protocol/radishtray_protocol/_routes.py
@@ -6,6 +6,8 @@
 
 from expression import Error, Ok, Result
 
+from radishtray_organisations import KeyRing, Organisation
+
 HIGHEST_PRIORITY_CLASS: Final = 3
 
 
@@ -48,6 +50,8 @@
         priority_class: Importance from 0 to 3; 3 is shed last.
         max_attempts: Maximum number of upstreams that one request is sent to.
         splits: Services that answer the requests, with their shares.
+        requires_key: Whether callers must present an organisation's key if
+            the configuration holds organisations.
     """
 
     __slots__ = (
@@ -57,6 +61,7 @@
         "name",
         "path_prefix",
         "priority_class",
+        "requires_key",
         "splits",
         "target_latency_s",
         "timeout_s",
@@ -74,6 +79,7 @@
         priority_class: int,
         max_attempts: int,
         splits: Iterable[RouteSplit],
+        requires_key: bool = True,
     ) -> None:
         """Validates the fields.
 
@@ -89,6 +95,7 @@
         self.priority_class = priority_class
         self.max_attempts = max_attempts
         self.splits = tuple(splits)
+        self.requires_key = requires_key
         if not (path_prefix.startswith("/") and path_prefix.endswith("/")):
             raise ValueError(
                 f"route {name}: prefix {path_prefix!r} must start and end"
@@ -148,12 +155,14 @@
         connection_limits: Maximum connections to one upstream, by service.
         health_paths: Path of the health check, by service; not all have one.
         limits: Limits for callers.
+        keys: Organisations with their keys; empty if callers need none.
     """
 
     __slots__ = (
         "_routes_by_host",
         "connection_limits",
         "health_paths",
+        "keys",
         "limits",
         "routes",
         "version",
@@ -166,18 +175,21 @@
         connection_limits: Mapping[str, int],
         limits: CallerLimits | None = None,
         health_paths: Mapping[str, str] | None = None,
+        organisations: Iterable[Organisation] = (),
     ) -> None:
-        """Indexes the routes.
+        """Indexes the routes and organisations.
 
         Raises:
-            ValueError: If two routes have the same host and prefix, or a
-                route refers to a service without a connection limit.
+            ValueError: If two routes have the same host and prefix, a route
+                refers to a service without a connection limit, or two
+                organisations have the same name or key.
         """
         self.version = version
         self.routes = tuple(routes)
         self.connection_limits = dict(connection_limits)
         self.limits = limits or CallerLimits()
         self.health_paths = dict(health_paths or {})
+        self.keys = KeyRing(organisations)
         self._routes_by_host: dict[str, dict[str, Route]] = {}
         for route in self.routes:
             prefixes = self._routes_by_host.setdefault(route.host, {})
@@ -237,12 +249,23 @@
                 "target_latency_s": route.target_latency_s,
                 "priority_class": route.priority_class,
                 "max_attempts": route.max_attempts,
+                "requires_key": route.requires_key,
                 "splits": [
                     [split.service, split.weight] for split in route.splits
                 ],
             }
             for route in table.routes
         ],
+        "organisations": [
+            {
+                "name": organisation.name,
+                "key_digests": [d.hex() for d in organisation.key_digests],
+                "priority_class": organisation.priority_class,
+                "rate_per_s": organisation.rate_per_s,
+                "burst": organisation.burst,
+            }
+            for organisation in table.keys
+        ],
     }
     return json.dumps(content, separators=(",", ":")).encode()
 
@@ -268,6 +291,8 @@
             priority_class=entry["priority_class"],
             max_attempts=entry["max_attempts"],
             splits=[RouteSplit(*split) for split in entry["splits"]],
+            # Nodes of an earlier version send neither this nor organisations.
+            requires_key=entry.get("requires_key", True),
         )
         for entry in content["routes"]
     ]
@@ -278,4 +303,14 @@
         CallerLimits(**content["limits"]),
         # Nodes of an earlier version send none.
         content.get("health_paths"),
+        [
+            Organisation(
+                entry["name"],
+                [bytes.fromhex(digest) for digest in entry["key_digests"]],
+                priority_class=entry["priority_class"],
+                rate_per_s=entry["rate_per_s"],
+                burst=entry["burst"],
+            )
+            for entry in content.get("organisations") or ()
+        ],
     )
