--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -210,6 +210,7 @@
             self._timers,
             settings.node_id,
             settings.revocation,
+            settings.allotment_tolerance,
             lambda: self.fleet.membership,
             self._fleet_share,
             self.send_control,
--- a/packages/node/radishtray_node/_gateway_settings.py
+++ b/packages/node/radishtray_node/_gateway_settings.py
@@ -2,6 +2,7 @@
 
 from radishtray_node._features import Feature
 from radishtray_node._forwarding import HeaderNames
+from radishtray_organisations import AllotmentTolerance
 from radishtray_protocol import ClusterKeys
 
 _DEFAULT_MAX_DESCRIPTORS = 4096
@@ -125,11 +126,13 @@
         memory_bytes: Memory that the process may take.
         max_descriptors: File descriptors that the process may open.
         revocation: How fast withdrawn keys are no longer accepted.
+        allotment_tolerance: By how much allotments may be exceeded.
         features: Decisions that are switched on.
     """
 
     __slots__ = (
         "addresses",
+        "allotment_tolerance",
         "cluster_keys",
         "configuration_object",
         "failure_domain",
@@ -165,6 +168,7 @@
         memory_bytes: int,
         max_descriptors: int = _DEFAULT_MAX_DESCRIPTORS,
         revocation: RevocationSettings | None = None,
+        allotment_tolerance: AllotmentTolerance | None = None,
         features: frozenset[Feature] = frozenset(),
     ) -> None:
         """Validates and stores the settings.
@@ -200,4 +204,5 @@
         self.memory_bytes = memory_bytes
         self.max_descriptors = max_descriptors
         self.revocation = revocation or RevocationSettings()
+        self.allotment_tolerance = allotment_tolerance or AllotmentTolerance()
         self.features = features
--- a/packages/node/radishtray_node/_organisations.py
+++ b/packages/node/radishtray_node/_organisations.py
@@ -16,6 +16,7 @@
 from radishtray_node._timers import TimerWheel
 from radishtray_organisations import (
     AllotmentOwner,
+    AllotmentTolerance,
     FreshnessGuard,
     KeyAges,
 )
@@ -76,6 +77,7 @@
         timers: TimerWheel,
         node_id: str,
         settings: RevocationSettings,
+        tolerance: AllotmentTolerance,
         membership: Callable[[], Membership],
         fleet_share: Callable[[], float],
         send: Callable[[str, wire.Frame], bool],
@@ -89,6 +91,7 @@
             timers: Timers of requests for tokens.
             node_id: Id of this node.
             settings: How fast withdrawn keys are no longer accepted.
+            tolerance: By how much allotments may be exceeded.
             membership: Returns the view of the fleet; only called after the
                 node's start.
             fleet_share: Returns the share of the fleet that this node sees.
@@ -100,7 +103,7 @@
         self._settings = settings
         self._send = send
         self._guard = FreshnessGuard(uncached_clock, settings.limit_s)
-        self._owner = AllotmentOwner(clock, fleet_share)
+        self._owner = AllotmentOwner(clock, fleet_share, tolerance)
         self._allotments = AllotmentDriver(
             clock,
             timers,
--- a/packages/organisations/radishtray_organisations/__init__.py
+++ b/packages/organisations/radishtray_organisations/__init__.py
@@ -12,6 +12,7 @@
 from radishtray_organisations._allotment_owner import (
     TOKEN_LIFETIME_S,
     AllotmentOwner,
+    AllotmentTolerance,
     Grant,
     tokens_to_request,
 )
@@ -28,6 +29,7 @@
     "TOKEN_LIFETIME_S",
     "AllotmentLeases",
     "AllotmentOwner",
+    "AllotmentTolerance",
     "FreshnessGuard",
     "FreshnessSchedule",
     "FreshnessSource",
--- a/packages/organisations/radishtray_organisations/_allotment_leases.py
+++ b/packages/organisations/radishtray_organisations/_allotment_leases.py
@@ -19,7 +19,9 @@
 _DEMAND_TIME_CONSTANT_S = 0.5
 # Share of the tokens' lifetime, in demand, below which more are requested while
 # some are left.
-_LOW_WATER_LIFETIME_SHARE = 0.25
+_LOW_WATER_LIFETIME_SHARE = 0.1
+# With less demand, tokens are requested only when a request needs one.
+_MIN_LOW_WATER = 1
 _MAX_WAITING = 256
 _MAX_ORGANISATIONS = 10_000
 # Retry-After if no owner answered.
@@ -100,13 +102,14 @@
         "_expires_at_s",
         "_regular",
         "_tokens",
-        "is_requested",
+        "requested",
         "waiting",
     )
 
     def __init__(self, now_s: float) -> None:
         self.waiting: deque[TokenWait] = deque()
-        self.is_requested = False
+        # Tokens that the owner has been asked for; 0 while it is not asked.
+        self.requested = 0
         self._tokens = 0
         self._regular = 0
         self._expires_at_s = 0.0
@@ -169,13 +172,13 @@
             * _LOW_WATER_LIFETIME_SHARE
         )
         return len(self.waiting) > 0 or (
-            low_water >= 1 and self._tokens < low_water
+            low_water >= _MIN_LOW_WATER and self._tokens < low_water
         )
 
     def is_idle(self, now_s: float) -> bool:
         return (
             not self.waiting
-            and not self.is_requested
+            and not self.requested
             and now_s >= self._expires_at_s
             and self.demand_per_s(now_s) < 0.01
         )
@@ -228,7 +231,7 @@
             on_verdict(verdict)
             return None
         denied_s = lease.denied_s(now_s)
-        if denied_s > 0 and not lease.is_requested:
+        if denied_s > 0 and not lease.requested:
             on_verdict(TokenVerdict(is_granted=False, retry_s=denied_s))
             return None
         if len(lease.waiting) >= _MAX_WAITING:
@@ -250,8 +253,8 @@
     def apply_grant(self, name: str, grant: Grant, asked_at_s: float) -> None:
         """Applies what an owner has granted.
 
-        Requests that wait and get no token are refused. Nothing more is asked
-        for here: the owner has just granted all that it had.
+        Requests that wait and get no token are refused if the owner granted
+        less than it was asked for, else tokens are requested for them.
 
         Args:
             name: Name of the organisation.
@@ -260,9 +263,13 @@
         """
         now_s = self._clock.monotonic()
         lease = self._lease(name, now_s)
-        lease.is_requested = False
+        is_all_granted = grant.requests >= lease.requested
+        lease.requested = 0
         lease.add(grant, asked_at_s + TOKEN_LIFETIME_S, now_s)
         self._serve_waiting(lease, now_s)
+        if is_all_granted:
+            self._request_more(name, lease, now_s)
+            return
         refused, lease.waiting = lease.waiting, deque()
         for wait in refused:
             wait.finish(TokenVerdict(is_granted=False, retry_s=grant.retry_s))
@@ -272,7 +279,7 @@
         lease = self._leases.get(name)
         if lease is None:
             return
-        lease.is_requested = False
+        lease.requested = 0
         refused, lease.waiting = lease.waiting, deque()
         for wait in refused:
             wait.finish(_unanswered())
@@ -302,13 +309,13 @@
                 lease.put_back(is_regular=verdict.is_regular, now_s=now_s)
 
     def _request_more(self, name: str, lease: _Lease, now_s: float) -> None:
-        if lease.is_requested or not lease.needs_more(now_s):
+        if lease.requested or not lease.needs_more(now_s):
             return
-        lease.is_requested = True
-        self._request(
-            name,
-            tokens_to_request(len(lease.waiting), lease.demand_per_s(now_s)),
+        lease.requested = tokens_to_request(
+            len(lease.waiting), lease.demand_per_s(now_s)
         )
+        if lease.requested:
+            self._request(name, lease.requested)
 
 
 def _unanswered() -> TokenVerdict:
--- a/packages/organisations/radishtray_organisations/_allotment_owner.py
+++ b/packages/organisations/radishtray_organisations/_allotment_owner.py
@@ -3,8 +3,11 @@
 One node owns the allotment of an organisation. It hands out tokens, each worth
 one request. A node may use a token for `TOKEN_LIFETIME_S`.
 
-In any window of W seconds one owner grants at most burst + rate * W tokens
-(see `_Bucket`), including those that are used after the window has begun.
+Tokens that are used in a window of W seconds were granted in a window of W
+seconds plus their lifetime. With one owner these are at most
+capacity + rate * (W + lifetime). The capacity of a bucket is therefore lower
+than the burst by rate * lifetime, as far as the tolerance of the allotments
+does not cover that.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -23,6 +26,44 @@
 # not run.
 _MAX_PAUSE_S = 0.75
 _MAX_REQUESTED = 10_000
+# Tokens ahead of need below which none are requested: demand that low is too
+# irregular to use them.
+_MIN_AHEAD = 2
+_AHEAD_LIFETIME_SHARE = 0.25
+
+
+class AllotmentTolerance:
+    """By how much the use of an allotment may exceed it in any window.
+
+    Attributes:
+        window_s: Length of the window in seconds.
+        share: Share of what the allotment grants in a window.
+        requests: Requests beyond that share.
+    """
+
+    __slots__ = ("requests", "share", "window_s")
+
+    def __init__(
+        self, window_s: float = 5.0, share: float = 0.0, requests: float = 0.0
+    ) -> None:
+        """Validates and stores the tolerance.
+
+        Raises:
+            ValueError: If a value is out of range.
+        """
+        if not (window_s > 0 and share >= 0 and requests >= 0):
+            raise ValueError(
+                "a tolerance needs a positive window and no negative share or "
+                "number of requests"
+            )
+        self.window_s = window_s
+        self.share = share
+        self.requests = requests
+
+    def tolerated(self, organisation: Organisation) -> float:
+        """Returns the requests that an organisation may exceed its limit by."""
+        granted = organisation.rate_per_s * self.window_s + organisation.burst
+        return granted * self.share + self.requests
 
 
 class Grant:
@@ -46,10 +87,6 @@
 class _Bucket:
     """Token bucket of one organisation.
 
-    Tokens are used up to `TOKEN_LIFETIME_S` after their grant, so that tokens
-    of rate * W + rate * lifetime + capacity may be used in a window of W
-    seconds. The capacity is therefore lower than the burst by rate * lifetime.
-
     Attributes:
         granted: Tokens granted so far.
         denied: Tokens asked for and not granted so far.
@@ -60,12 +97,19 @@
         "_rate_per_s",
         "_regular_tokens",
         "_tokens",
+        "_tolerance",
         "_updated_at_s",
         "denied",
         "granted",
     )
 
-    def __init__(self, organisation: Organisation, now_s: float) -> None:
+    def __init__(
+        self,
+        organisation: Organisation,
+        tolerance: AllotmentTolerance,
+        now_s: float,
+    ) -> None:
+        self._tolerance = tolerance
         self.granted = 0
         self.denied = 0
         self._updated_at_s = now_s
@@ -76,7 +120,9 @@
 
     def set_limit(self, organisation: Organisation) -> None:
         self._rate_per_s = organisation.rate_per_s
-        reserved = self._rate_per_s * TOKEN_LIFETIME_S
+        # The other half of the tolerance is left for changes of the owner.
+        covered = self._tolerance.tolerated(organisation) / 2
+        reserved = max(0.0, self._rate_per_s * TOKEN_LIFETIME_S - covered)
         self._burst = max(1.0, organisation.burst - reserved)
         self._tokens = min(self._tokens, self._burst)
 
@@ -115,16 +161,31 @@
     to the share of the fleet that it sees.
     """
 
-    __slots__ = ("_buckets", "_clock", "_last_run_s", "_limits", "_scale")
+    __slots__ = (
+        "_buckets",
+        "_clock",
+        "_last_run_s",
+        "_limits",
+        "_scale",
+        "_tolerance",
+    )
 
-    def __init__(self, clock: Clock, scale: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        scale: Callable[[], float],
+        tolerance: AllotmentTolerance | None = None,
+    ) -> None:
         """Starts without allotments.
 
         Args:
             clock: Time source.
             scale: Returns the share of the fleet that this node sees, above 0
                 and at most 1.
+            tolerance: By how much allotments may be exceeded; None for not at
+                all.
         """
+        self._tolerance = tolerance or AllotmentTolerance()
         self._clock = clock
         self._scale = scale
         self._limits: dict[str, Organisation] = {}
@@ -171,7 +232,9 @@
         now_s = self._clock.monotonic()
         bucket = self._buckets.get(name)
         if bucket is None:
-            bucket = self._buckets[name] = _Bucket(organisation, now_s)
+            bucket = self._buckets[name] = _Bucket(
+                organisation, self._tolerance, now_s
+            )
         scale = self._scale()
         bucket.refill(now_s, scale)
         return bucket.take(max(0, min(requested, _MAX_REQUESTED)), scale)
@@ -186,12 +249,12 @@
 def tokens_to_request(waiting: int, demand_per_s: float) -> int:
     """Returns how many tokens a node asks for at once.
 
-    A node with much demand asks for what it needs until the tokens would
-    expire; one with little asks only for the requests that wait, since tokens
+    A node with much demand asks for what it needs in a part of the tokens'
+    lifetime; one with little asks only for the requests that wait, since tokens
     that expire unused are lost to the organisation.
 
     >>> tokens_to_request(1, 0.5), tokens_to_request(1, 40)
-    (1, 11)
+    (1, 6)
     """
-    ahead = demand_per_s * TOKEN_LIFETIME_S / 2
-    return waiting + (ceil(ahead) if ahead >= 1 else 0)
+    ahead = demand_per_s * TOKEN_LIFETIME_S * _AHEAD_LIFETIME_SHARE
+    return waiting + (ceil(ahead) if ahead >= _MIN_AHEAD else 0)
