Order organisations' requests by the route's priority in their class

Change: within the class of the organisation the level follows the priority of the route; requests beyond the regular share come last.

--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -22,7 +22,11 @@
 )
 from radishtray_node._request_parts import forwarded_headers
 from radishtray_node._routed_call import RoutedCall, RoutedRequest
-from radishtray_organisations import TokenVerdict, TokenWait
+from radishtray_organisations import (
+    TokenVerdict,
+    TokenWait,
+    draw_request_level,
+)
 from radishtray_protocol import Route, RouteTable
 from radishtray_state import (
     FIRST_LEVELS,
@@ -50,8 +54,6 @@
 # Share of requests that are sent although their calls are expected to be
 # refused, to detect when the overload ends.
 _PROBE_SHARE = 0.01
-# Levels, from 0, of requests beyond the regular share of their organisation.
-_EXCESS_LEVELS = 8
 
 
 class CrashBlocklist:
@@ -154,7 +156,7 @@
         if token.is_granted:
             self._token = token
             if not token.is_regular:
-                call.lower_level(self._entry.draw_excess_level())
+                call.lower_level(self._entry.draw_excess_level(self._route))
             call.start()
             return
         reason = (
@@ -441,7 +443,7 @@
             # Without the service, since the route may change or be split.
             fingerprint("", method + host, uri, http.body),
             _priority_class(parent, identity, route),
-            parent.call_level if parent else self._rng.randrange(FIRST_LEVELS),
+            parent.call_level if parent else self._draw_level(route, identity),
             has_parent=parent is not None,
             is_repeat=parent is not None and parent.is_repeat,
             identity=identity,
@@ -474,12 +476,22 @@
         )
         self.refuse(http, reason, left_s)
 
-    def draw_excess_level(self) -> int:
+    def draw_excess_level(self, route: Route) -> int:
         """Returns a level for a request beyond the share of its organisation.
 
         Requests of other organisations take precedence over it.
         """
-        return self._rng.randrange(_EXCESS_LEVELS)
+        return draw_request_level(
+            self._rng, route.priority_class, is_regular=False
+        )
+
+    def _draw_level(self, route: Route, identity: CallerIdentity) -> int:
+        """Returns the level of a first request within its class."""
+        if identity.priority_class is None:
+            return self._rng.randrange(FIRST_LEVELS)
+        return draw_request_level(
+            self._rng, route.priority_class, is_regular=True
+        )
 
     def _count_request(self, route: str) -> None:
         counter = self._route_counters.get(route)
--- a/packages/organisations/radishtray_organisations/__init__.py
+++ b/packages/organisations/radishtray_organisations/__init__.py
@@ -24,6 +24,7 @@
 from radishtray_organisations._key_ages import KeyAges
 from radishtray_organisations._key_ring import KeyRing, parse_bearer
 from radishtray_organisations._organisation import Organisation, digest_key
+from radishtray_organisations._request_level import draw_request_level
 
 __all__ = [
     "TOKEN_LIFETIME_S",
@@ -40,6 +41,7 @@
     "TokenVerdict",
     "TokenWait",
     "digest_key",
+    "draw_request_level",
     "parse_bearer",
     "tokens_to_request",
 ]
--- a/packages/testing/radishtray_testing/_reference_texts.py
+++ b/packages/testing/radishtray_testing/_reference_texts.py
@@ -48,6 +48,10 @@
     RefusalReason.CANCELLED_QUEUED: ReasonAdvice("None; the caller has disconnected.", "Many of them mean that callers wait less than `deadline_ms`."),
     RefusalReason.CRASH_SUSPECT: ReasonAdvice("Do not send this content again; a gateway refuses it for an hour after it last came.", "Find the request content that ends upstream processes; see [failures](failures.md)."),
     RefusalReason.NEVER_ARRIVED: ReasonAdvice(_RETRY_LATER, "Check the network between nodes and `radishtray_node_connections_rejected_total`."),
+    RefusalReason.UNAUTHENTICATED: ReasonAdvice("Send a key that the configuration holds; do not repeat the request as it is.", "Compare the age of the organisation's keys with the release that withdrew one; see [organisations](organisations.md)."),
+    RefusalReason.CONFIGURATION_STALE: ReasonAdvice(_RETRY_LATER, "The node and its peers do not reach the platform; see `radishtray_configuration_age_seconds`."),
+    RefusalReason.ALLOTMENT_EXHAUSTED: ReasonAdvice("Wait for `Retry-After`.", "Compare the organisation's use with its limit; see [organisations](organisations.md)."),
+    RefusalReason.ALLOTMENT_UNKNOWN: ReasonAdvice(_RETRY_LATER, "Brief while nodes end. If it lasts, check the links between nodes."),
     RefusalReason.KEY_MISSING: ReasonAdvice(_CORRECT_REQUEST, "Tell the caller's team to send an `Idempotency-Key`."),
     RefusalReason.KEY_INVALID: ReasonAdvice(_CORRECT_REQUEST, "As `key_missing`; other UUID versions are refused."),
     RefusalReason.KEY_REUSED: ReasonAdvice("Use a fresh key for each different request.", "A fault of the caller: one key with two contents."),
@@ -88,6 +92,7 @@
     "radishtray_rejected_input_total": ("listener, reason", "requests or connections", "Input that a TCP listener for HTTP rejected."),
     "radishtray_node_connections_rejected_total": ("reason", "connections", "Connections between nodes that this node ended, and duplicate attempts and unmatched answers on them."),
     "radishtray_upstream_response_faults_total": ("fault", "responses", "Faults in what the upstream sent; forwarding by route only. `other_request` and `extra_bytes`: the upstream answers twice."),
+    "radishtray_organisation_requests_total": ("`organisation`, `outcome`", "requests", "Requests of organisations at this node, by `answered` or the reason of the refusal. The 100 organisations with the highest limits have a label of their own; all others share `(others)`."),
     "radishtray_answers_mismatched_total": ("-", "answers", "Answers of nodes that were not delivered because they state the id of another request; forwarding by route only. Not zero: report a fault of radishtray."),
 }  # fmt: skip
 
