--- a/packages/organisations/radishtray_organisations/_allotment_owner.py
+++ b/packages/organisations/radishtray_organisations/_allotment_owner.py
@@ -7,7 +7,7 @@
 seconds plus their lifetime. With one owner these are at most
 capacity + rate * (W + lifetime). The capacity of a bucket is therefore lower
 than the burst by rate * lifetime, as far as the tolerance of the allotments
-does not cover that.
+does not cover that, but at least half of the burst.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -123,7 +123,11 @@
         # The other half of the tolerance is left for changes of the owner.
         covered = self._tolerance.tolerated(organisation) / 2
         reserved = max(0.0, self._rate_per_s * TOKEN_LIFETIME_S - covered)
-        self._burst = max(1.0, organisation.burst - reserved)
+        # At least half of the burst, so that tokens do not run over between
+        # two requests for them where the burst is short of the rate.
+        self._burst = max(
+            1.0, organisation.burst / 2, organisation.burst - reserved
+        )
         self._tokens = min(self._tokens, self._burst)
 
     def restart(self, now_s: float) -> None:
@@ -148,7 +152,7 @@
         self._regular_tokens -= regular
         self.granted += requests
         self.denied += requested - requests
-        missing = max(0.0, requested - requests - self._tokens)
+        missing = max(0.0, 1 - self._tokens) if requests < requested else 0.0
         rate_per_s = max(self._rate_per_s * scale, 1e-3)
         return Grant(requests, regular, missing / rate_per_s)
 
--- a/packages/testing/radishtray_testing/gateway_builders.py
+++ b/packages/testing/radishtray_testing/gateway_builders.py
@@ -14,6 +14,7 @@
     HeaderNames,
     RetryBudgetSettings,
 )
+from radishtray_organisations import Organisation
 from radishtray_protocol import (
     ClusterKeys,
     Route,
@@ -55,6 +56,7 @@
     instance="Upstream-Instance",
     limit="Upstream-Limit",
     leaving="Upstream-Leaving",
+    organisation="Organisation",
 )
 
 
@@ -73,7 +75,11 @@
     return Route(name, **(fields | changes))
 
 
-def build_route_table(*routes: Route, version: int = 1) -> RouteTable:
+def build_route_table(
+    *routes: Route,
+    version: int = 1,
+    organisations: Sequence[Organisation] = (),
+) -> RouteTable:
     """Builds a route table with the services that its routes name."""
     services = {split.service for route in routes for split in route.splits}
     return RouteTable(
@@ -81,6 +87,7 @@
         routes,
         dict.fromkeys(services, 1000),
         health_paths=dict.fromkeys(services, HEALTH_PATH),
+        organisations=organisations,
     )
 
 
@@ -142,11 +149,16 @@
     def watch(
         self, name: str, version: int | None, timeout_s: float
     ) -> "Deferred[Result[Any, Any]]":
-        """Waits until the table's version differs from a known one."""
-        del name, timeout_s
+        """Waits until the table's version differs from a known one.
+
+        Without a timeout the answer is immediate.
+        """
+        del name
         table = self._table
         if not self.is_down and table is not None and table.version != version:
             return succeed(Ok(self._table_object(table)))
+        if not timeout_s and not self.is_down:
+            return succeed(Ok(None))
         pending: Deferred[Result[Any, Any]] = Deferred()
         self._pending_watches.append(pending)
         return pending
@@ -659,6 +671,7 @@
         method: str = "GET",
         body: bytes = b"",
         caller: HttpClient | None = None,
+        headers: Sequence[str] = (),
     ) -> "CallerResult":
         """Sends a request from the caller beside a gateway.
 
@@ -671,6 +684,7 @@
             body: Body of the request.
             caller: Connections of the caller; None for those that all callers
                 of a gateway share.
+            headers: Further headers, names and values alternating.
 
         Returns:
             The result, which is filled in once there is one.
@@ -685,6 +699,7 @@
                 request_id,
                 HEADER_NAMES.deadline_ms,
                 str(deadline_ms),
+                *headers,
             ],
             body,
             result.on_answer,
