Allotments: the majority of the fleet grants the whole rate

Change: an owner that sees more than half of the fleet grants everything; the bound on paper grows by the share of the nodes that are cut off. Ruled out: scaling everywhere, which bounds more and refuses what is owed.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -38,6 +38,7 @@
 from radishtray_node._unsent_answers import call_when_sent
 from radishtray_node._upstream_reports import UpstreamReports
 from radishtray_node._upstream_server import UpstreamServer
+from radishtray_organisations import grantable_share
 from radishtray_protocol import Document, RouteTable, wire
 from radishtray_state import (
     ArrivalBudget,
@@ -416,9 +417,9 @@
         return self._configuration
 
     def _fleet_share(self) -> float:
-        """Returns the share of the fleet that this node sees."""
+        """Returns the share of the allotments that this node may grant."""
         live = self.fleet.membership.live_count
-        return live / max(live, self._fleet_size.update(live))
+        return grantable_share(live, self._fleet_size.update(live))
 
     def _is_key_withdrawn(self, call: wire.Call) -> bool:
         """Returns whether the key of a call has been withdrawn meanwhile.
--- a/packages/organisations/radishtray_organisations/__init__.py
+++ b/packages/organisations/radishtray_organisations/__init__.py
@@ -14,6 +14,7 @@
     AllotmentOwner,
     AllotmentTolerance,
     Grant,
+    grantable_share,
     tokens_to_request,
 )
 from radishtray_organisations._freshness import (
@@ -42,6 +43,7 @@
     "TokenWait",
     "digest_key",
     "draw_request_level",
+    "grantable_share",
     "parse_bearer",
     "tokens_to_request",
 ]
--- a/packages/organisations/radishtray_organisations/_allotment_owner.py
+++ b/packages/organisations/radishtray_organisations/_allotment_owner.py
@@ -161,8 +161,7 @@
     """Grants tokens of the organisations that this node owns.
 
     Several nodes may take themselves for the owner while their views of the
-    fleet differ. Each then grants only the share of the rate that corresponds
-    to the share of the fleet that it sees.
+    fleet differ; see `grantable_share`.
     """
 
     __slots__ = (
@@ -184,8 +183,8 @@
 
         Args:
             clock: Time source.
-            scale: Returns the share of the fleet that this node sees, above 0
-                and at most 1.
+            scale: Returns the share of the allotments that this node may
+                grant, above 0 and at most 1.
             tolerance: By how much allotments may be exceeded; None for not at
                 all.
         """
@@ -250,6 +249,24 @@
             yield name, limit, bucket.granted, bucket.denied
 
 
+def grantable_share(seen: int, fleet_size: int) -> float:
+    """Returns the share of the allotments that an owner may grant.
+
+    An owner that sees most of the fleet grants everything: the loss of some
+    nodes must not reduce what the others may serve. The parts that others may
+    form grant what corresponds to their size.
+
+    >>> grantable_share(60, 100), grantable_share(40, 100)
+    (1.0, 0.4)
+
+    Args:
+        seen: Nodes that the owner sees, itself included.
+        fleet_size: The largest number that it has seen recently.
+    """
+    size = max(seen, fleet_size)
+    return 1.0 if 2 * seen > size else seen / size
+
+
 def tokens_to_request(waiting: int, demand_per_s: float) -> int:
     """Returns how many tokens a node asks for at once.
 
