--- a/packages/node/radishtray_node/_freshness_driver.py
+++ b/packages/node/radishtray_node/_freshness_driver.py
@@ -1,7 +1,7 @@
 """Confirms at intervals that the configuration in force is the latest one."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from math import ceil
 from typing import Any, Protocol
 
@@ -32,6 +32,23 @@
         ...
 
 
+class FreshnessPeers:
+    """Whom a node asks for confirmations.
+
+    Attributes:
+        position: Position among the nodes that ask the platform, counted from
+            0; None for a node that does so only if its peers do not help.
+        peers: Nodes to ask, the first ones by preference.
+    """
+
+    __slots__ = ("peers", "position")
+
+    def __init__(self, position: int | None, peers: Sequence[str]) -> None:
+        """Stores the position and the peers."""
+        self.position = position
+        self.peers = tuple(peers)
+
+
 class FreshnessDriver:
     """Asks peers and the platform for confirmations, and answers peers.
 
@@ -39,13 +56,12 @@
     """
 
     __slots__ = (
-        "_candidates",
         "_clock",
         "_guard",
         "_is_probing",
         "_is_stale",
         "_loop",
-        "_node_id",
+        "_peers",
         "_pending",
         "_schedule",
         "_send",
@@ -59,9 +75,8 @@
         reactor: Any,
         clock: Clock,
         guard: FreshnessGuard,
-        node_id: str,
         source: ConfirmationSource,
-        candidates: Callable[[], list[str]],
+        peers: Callable[[], FreshnessPeers],
         send: Callable[[str, wire.Frame], bool],
     ) -> None:
         """Creates the driver without starting it.
@@ -70,18 +85,15 @@
             reactor: Schedules the checks.
             clock: Time source that is read at each check, as that of `guard`.
             guard: Holds the age of the last confirmation.
-            node_id: Id of this node.
             source: The platform.
-            candidates: Returns the nodes of the own failure domain that ask the
-                platform, in their order.
+            peers: Returns whom this node asks.
             send: Sends a control frame to a node.
         """
         self.is_needed = False
         self._clock = clock
         self._guard = guard
-        self._node_id = node_id
         self._source = source
-        self._candidates = candidates
+        self._peers = peers
         self._send = send
         self._schedule = FreshnessSchedule(guard.limit_s)
         self._sequence = 0
@@ -105,18 +117,14 @@
             return
         age_s = self._guard.age_s
         self._log_change(age_s)
-        candidates = self._candidates()
-        position = (
-            candidates.index(self._node_id)
-            if self._node_id in candidates
-            else None
+        peers = self._peers()
+        source = self._schedule.choose(
+            self._clock.monotonic(), age_s, peers.position
         )
-        source = self._schedule.choose(self._clock.monotonic(), age_s, position)
         if source is FreshnessSource.PLATFORM and not self._is_probing:
             self._ask_platform()
         elif source is FreshnessSource.PEER:
-            peers = [node for node in candidates if node != self._node_id]
-            self._ask_peer(peers if position is None else peers[:position])
+            self._ask_peer(peers.peers)
 
     def _log_change(self, age_s: float) -> None:
         is_stale = not self._guard.is_fresh
@@ -151,7 +159,7 @@
 
         self._source.confirm().addCallbacks(confirmed, failed)
 
-    def _ask_peer(self, peers: list[str]) -> None:
+    def _ask_peer(self, peers: Sequence[str]) -> None:
         if not peers:
             return
         self._sequence += 1
--- a/packages/node/radishtray_node/_organisations.py
+++ b/packages/node/radishtray_node/_organisations.py
@@ -1,13 +1,14 @@
 """The parts of a node that serve a configuration with organisations."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Generic, TypeVar
 
 from radishtray_coordination import rank_candidates
 from radishtray_node._allotment_driver import AllotmentDriver
 from radishtray_node._freshness_driver import (
     ConfirmationSource,
     FreshnessDriver,
+    FreshnessPeers,
 )
 from radishtray_node._gateway_settings import RevocationSettings
 from radishtray_node._metrics import Metrics
@@ -21,8 +22,9 @@
     KeyAges,
 )
 from radishtray_protocol import RouteTable, wire
-from radishtray_state import Clock, Membership, MemberState
+from radishtray_state import Clock, MemberRecord, Membership, MemberState
 
+_T = TypeVar("_T")
 _FRESHNESS_ROLE = "configuration-freshness"
 _FRESHNESS_CANDIDATES_PER_DOMAIN = 6
 _OWNER_ROLE = "allotment-owner"
@@ -30,23 +32,23 @@
 _CANDIDATES_TTL_S = 0.5
 
 
-class _Candidates:
-    """Ids of the members that compete for a role, computed now and then."""
+class _Cached(Generic[_T]):
+    """A value that is made from the view of the members now and then."""
 
-    __slots__ = ("_clock", "_compute", "_expires_at_s", "_nodes")
+    __slots__ = ("_clock", "_compute", "_expires_at_s", "_value")
 
-    def __init__(self, clock: Clock, compute: Callable[[], list[str]]) -> None:
+    def __init__(self, clock: Clock, compute: Callable[[], _T]) -> None:
         self._clock = clock
         self._compute = compute
-        self._nodes: list[str] = []
-        self._expires_at_s = -1.0
+        self._value: _T | None = None
+        self._expires_at_s = 0.0
 
-    def __call__(self) -> list[str]:
+    def __call__(self) -> _T:
         now_s = self._clock.monotonic()
-        if now_s >= self._expires_at_s:
-            self._nodes = self._compute()
+        if self._value is None or now_s >= self._expires_at_s:
+            self._value = self._compute()
             self._expires_at_s = now_s + _CANDIDATES_TTL_S
-        return self._nodes
+        return self._value
 
 
 class Organisations:
@@ -63,7 +65,6 @@
         "_guard",
         "_key_ages",
         "_metrics",
-        "_node_id",
         "_owner",
         "_send",
         "_settings",
@@ -99,7 +100,6 @@
             metrics: Metrics of this node.
         """
         self._clock = uncached_clock
-        self._node_id = node_id
         self._settings = settings
         self._send = send
         self._guard = FreshnessGuard(uncached_clock, settings.limit_s)
@@ -109,7 +109,7 @@
             timers,
             node_id,
             self._owner,
-            _Candidates(clock, lambda: _owner_candidates(membership())),
+            _Cached(clock, lambda: _owner_candidates(membership())),
             send,
         )
         self.gate = OrganisationGate(
@@ -138,9 +138,8 @@
             reactor,
             self._clock,
             self._guard,
-            self._node_id,
             source,
-            _Candidates(self._clock, lambda: _freshness_candidates(membership)),
+            _Cached(self._clock, lambda: _freshness_peers(membership)),
             self._send,
         )
         self._freshness.is_needed = self.gate.has_organisations
@@ -197,17 +196,42 @@
     ]
 
 
-def _freshness_candidates(membership: Membership) -> list[str]:
-    domain = membership.own_record.failure_domain
+def _freshness_peers(membership: Membership) -> FreshnessPeers:
+    """Returns this node's position among those that ask the platform.
+
+    The first candidate of the first failure domain asks it; the first ones of
+    the other domains ask that one, and all others a candidate of their own
+    domain.
+    """
+    own = membership.own_record
+    alive = [
+        member
+        for member in membership.members()
+        if member.state is MemberState.ALIVE
+    ]
+    candidates = _freshness_candidates(alive, own.failure_domain)
+    if own.node_id not in candidates:
+        return FreshnessPeers(None, candidates)
+    domains = sorted(
+        {member.failure_domain for member in alive} | {own.failure_domain}
+    )
+    earlier_domains = domains[: domains.index(own.failure_domain)]
+    rank = candidates.index(own.node_id)
+    peers = candidates[:rank] or [
+        node
+        for domain in earlier_domains
+        for node in _freshness_candidates(alive, domain)[:1]
+    ]
+    return FreshnessPeers(len(earlier_domains) + rank, peers)
+
+
+def _freshness_candidates(
+    alive: list[MemberRecord], failure_domain: str
+) -> list[str]:
     return [
         member.node_id
         for member in rank_candidates(
-            (
-                member
-                for member in membership.members()
-                if member.failure_domain == domain
-                and member.state is MemberState.ALIVE
-            ),
+            (m for m in alive if m.failure_domain == failure_domain),
             _FRESHNESS_ROLE,
             _FRESHNESS_CANDIDATES_PER_DOMAIN,
         )
--- a/packages/organisations/radishtray_organisations/_freshness.py
+++ b/packages/organisations/radishtray_organisations/_freshness.py
@@ -127,10 +127,9 @@
 class FreshnessSchedule:
     """Decides when a node asks a peer or the platform for a confirmation.
 
-    The candidates of a failure domain ask the platform, in calm only the first
-    of them. The other nodes ask the candidates, so the number of platform calls
-    does not grow with the fleet. A node whose candidates cannot help asks the
-    platform itself.
+    A few candidates ask the platform, in calm only the first of them. All other
+    nodes ask candidates, so the number of platform calls does not grow with the
+    fleet. A node that no candidate helps asks the platform itself.
     """
 
     __slots__ = (
