Compress frames between failure domains (feature frame_compression)

Cause: most bytes between failure domains are calls and answers of several hundred bytes each, mostly repeated headers.

Change: each direction of a node connection is one raw deflate stream, if both sides have stated beside their proof that they read it. A node states that on the connections that it accepts and on those that it opens to another failure domain. Frames below 64 bytes and above 4 KiB pass through in order. A part of the stream that decompresses to more than 64 KiB, or not at all, ends the connection with a counted reason.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -19,7 +19,9 @@
 )
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
+from radishtray_node._compression_metrics import add_compression_gauge
 from radishtray_node._decision_log import DecisionLog
+from radishtray_node._features import Feature
 from radishtray_node._fleet import ConfigurationSource, Fleet, ReleasePuller
 from radishtray_node._forwarding import HeaderForwarding
 from radishtray_node._gateway_settings import GatewaySettings
@@ -58,6 +60,7 @@
     suspect_host,
 )
 from radishtray_transport import (
+    CompressionTotals,
     HttpLimits,
     HttpRequest,
     HttpServer,
@@ -116,6 +119,7 @@
 
     __slots__ = (
         "_arrival_budget",
+        "_compression",
         "_configuration",
         "_decode_table",
         "_ended_processes",
@@ -244,8 +248,19 @@
             self._on_control_frame,
             self._request_bodies,
         )
+        self._compression = (
+            CompressionTotals()
+            if Feature.FRAME_COMPRESSION in settings.features
+            else None
+        )
+        if self._compression is not None:
+            add_compression_gauge(self.metrics, self._compression)
         self._node_listener = NodeListener(
-            reactor, self.identity, settings.cluster_keys, self._node_server
+            reactor,
+            self.identity,
+            settings.cluster_keys,
+            self._node_server,
+            compression=self._compression,
         )
         self._listeners = self._build_listeners()
         self._periodic_calls = [
@@ -530,8 +545,10 @@
 
     def _create_link(self, node_id: str) -> PeerLink | None:
         address = self.fleet.node_address(node_id)
-        if address is None:
+        member = self.fleet.membership.get(node_id)
+        if address is None or member is None:
             return None
+        is_same_domain = member.failure_domain == self.settings.failure_domain
         return PeerLink(
             self._reactor,
             self._timers,
@@ -547,6 +564,7 @@
             lambda calls, incarnation: self._on_process_ended(
                 node_id, calls, incarnation
             ),
+            None if is_same_domain else self._compression,
         )
 
     def _on_process_ended(
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -22,6 +22,7 @@
     SettledAttempt,
 )
 from radishtray_transport import (
+    CompressionTotals,
     NodeConnection,
     NodeIdentity,
     Signer,
@@ -61,6 +62,7 @@
     """
 
     __slots__ = (
+        "_compression",
         "_connect_failures",
         "_connect_started_s",
         "_connection",
@@ -97,6 +99,7 @@
         on_verified: Callable[[str, int], None],
         on_rejected: Callable[[str], None],
         on_process_ended: ProcessEndedCallback = lambda _calls, _inc: None,
+        compression: CompressionTotals | None = None,
     ) -> None:
         """Prepares a link; it connects with the first frame.
 
@@ -114,12 +117,15 @@
                 connection.
             on_process_ended: Called if the peer's process has ended before it
                 answered some calls, with these calls and its incarnation.
+            compression: Totals of compressed bytes; None to send and read no
+                compressed frames.
         """
         self.address = address
         self._reactor = reactor
         self._timers = timers
         self._identity = identity
         self._signer = signer
+        self._compression = compression
         self._on_control = on_control
         self._on_rejected = on_rejected
         self._on_process_ended = on_process_ended
@@ -326,6 +332,7 @@
             self._outstanding.next_epoch(),
             self._signer,
             self,
+            compression=self._compression,
         )
 
     def _await_connection(self, connection: NodeConnection) -> None:
--- a/packages/protocol/radishtray_protocol/__init__.py
+++ b/packages/protocol/radishtray_protocol/__init__.py
@@ -36,6 +36,7 @@
     FrameDecoder,
     FrameError,
     decode_struct,
+    encode_compressed_frame,
     encode_frame,
     encode_struct,
 )
@@ -120,6 +121,7 @@
     "decode_seeds",
     "decode_slot_table",
     "decode_struct",
+    "encode_compressed_frame",
     "encode_frame",
     "encode_lease",
     "encode_routes",
--- a/packages/protocol/radishtray_protocol/_frames.py
+++ b/packages/protocol/radishtray_protocol/_frames.py
@@ -17,6 +17,12 @@
 
 _LENGTH_PREFIX = struct.Struct("!I")
 _LENGTH_PREFIX_BYTES = _LENGTH_PREFIX.size
+# Header of the field `compressed` in Thrift's binary protocol: type string, id.
+_COMPRESSED_FIELD = b"\x0b\x00\x16"
+_COMPRESSED_HEADER = struct.Struct("!I3sI")
+_COMPRESSED_FIELD_BYTES = len(_COMPRESSED_FIELD) + _LENGTH_PREFIX_BYTES
+_STRUCT_END = b"\x00"
+_COMPRESSED_FRAME_EXTRA_BYTES = _COMPRESSED_FIELD_BYTES + len(_STRUCT_END)
 _MAX_STRING_BYTES = 64 * 1024 * 1024
 _MAX_CONTAINER_ITEMS = 100_000
 DEFAULT_MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -108,6 +114,39 @@
     return _LENGTH_PREFIX.pack(len(data)) + data
 
 
+def encode_compressed_frame(data: bytes) -> bytes:
+    """Encodes a frame that holds a part of the compressed stream.
+
+    Gives the same bytes as `encode_frame` without Thrift's encoder, which took
+    3.5 us for such a frame and its decoder 6 us.
+    """
+    size = len(data)
+    return (
+        _COMPRESSED_HEADER.pack(
+            size + _COMPRESSED_FRAME_EXTRA_BYTES, _COMPRESSED_FIELD, size
+        )
+        + data
+        + _STRUCT_END
+    )
+
+
+def _read_compressed(body: bytes) -> bytes | None:
+    """Returns the content of a frame that holds only compressed data.
+
+    Returns:
+        The data, or None for any other frame, which Thrift has to decode.
+    """
+    if not body.startswith(_COMPRESSED_FIELD):
+        return None
+    data = body[_COMPRESSED_FIELD_BYTES:-1]
+    (size,) = _LENGTH_PREFIX.unpack_from(
+        body.ljust(_COMPRESSED_FIELD_BYTES, _STRUCT_END), len(_COMPRESSED_FIELD)
+    )
+    if size != len(data) or body[-1:] != _STRUCT_END:
+        return None
+    return data
+
+
 class FrameDecoder:
     """Splits a byte stream into frames.
 
@@ -166,18 +205,24 @@
         self, buffer: bytes, start: int, end: int
     ) -> "ttypes.Frame":
         offset = self._offset + start
+        body = buffer[start + _LENGTH_PREFIX_BYTES : end]
+        compressed = _read_compressed(body)
+        if compressed is not None:
+            return ttypes.Frame(compressed=compressed)
         try:
-            frame = decode_struct(
-                ttypes.Frame(), buffer[start + _LENGTH_PREFIX_BYTES : end]
-            )
+            frame = decode_struct(ttypes.Frame(), body)
             _validate_frame(frame)
         except FrameError as error:
             raise FrameError(error.reason, offset, str(error)) from error
         return frame
 
 
+# `accepts_compression` accompanies a message; a frame that holds nothing else
+# would end a connection to a node that does not know the field.
 _CONTROL_FIELDS = tuple(
-    name for name in ttypes.Frame.__slots__ if name not in ("call", "answer")
+    name
+    for name in ttypes.Frame.__slots__
+    if name not in ("call", "answer", "accepts_compression")
 )
 
 
@@ -213,6 +258,8 @@
     ]
     if len(messages) != 1:
         raise FrameError("malformed", 0, f"{len(messages)} messages set")
+    if frame.compressed is not None:
+        return
     messages[0].validate()
     if frame.attempt_states is not None:
         _validate_items(frame.attempt_states.states)
--- a/packages/transport/radishtray_transport/__init__.py
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -1,5 +1,11 @@
 """Network transport on Twisted: HTTP, node connections, gossip, platform."""
 
+from radishtray_transport._frame_compression import (
+    MAX_DECOMPRESSED_BYTES,
+    CompressionTotals,
+    FrameCompressor,
+    FrameDecompressor,
+)
 from radishtray_transport._gossip_codec import (
     MAX_DATAGRAM_BYTES,
     DatagramFault,
@@ -50,11 +56,15 @@
     "ABSENT_VERSION",
     "FREE_BODY_BYTES",
     "MAX_DATAGRAM_BYTES",
+    "MAX_DECOMPRESSED_BYTES",
     "UNTRACKED_EPOCH",
+    "CompressionTotals",
     "Conflict",
     "ConnectionEvents",
     "DatagramFault",
     "FailureCallback",
+    "FrameCompressor",
+    "FrameDecompressor",
     "GossipCounters",
     "GossipSocket",
     "HeaderList",
--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -34,6 +34,11 @@
     wire,
 )
 from radishtray_transport._direct_writer import DirectWriter
+from radishtray_transport._frame_compression import (
+    CompressionTotals,
+    FrameCompressor,
+    FrameDecompressor,
+)
 
 _LOG = logging.getLogger(__name__)
 UNTRACKED_EPOCH = 0
@@ -107,6 +112,7 @@
         is_initiator: bool,
         events: "ConnectionEvents",
         max_frame_bytes: int = DEFAULT_MAX_FRAME_BYTES,
+        compression: CompressionTotals | None = None,
     ) -> None:
         """Creates the protocol of a connection that is not yet open.
 
@@ -120,6 +126,8 @@
             events: Receives the events of the connection.
             max_frame_bytes: Maximum size of a received frame after the
                 handshake.
+            compression: Totals of compressed bytes; None if this side neither
+                reads nor sends compressed frames.
         """
         self.peer: wire.Hello | None = None
         self._reactor = reactor
@@ -127,6 +135,10 @@
         self._is_initiator = is_initiator
         self._events = events
         self._max_frame_bytes = max_frame_bytes
+        self._compression = compression
+        # None until the peer has stated that it reads compressed frames.
+        self._compressor: FrameCompressor | None = None
+        self._decompressor: FrameDecompressor | None = None
         self._hello = wire.Hello(
             node_id=identity.node_id,
             incarnation=identity.incarnation,
@@ -176,8 +188,11 @@
         self.send(wire.Frame(hello=self._hello))
 
     def send(self, frame: wire.Frame) -> None:
-        """Encodes and sends a frame."""
-        self._writer.write(encode_frame(frame))
+        """Encodes and sends a frame, compressed if the peer reads that."""
+        data = encode_frame(frame)
+        if self._compressor is not None:
+            data = self._compressor.compress(data)
+        self._writer.write(data)
 
     def dataReceived(self, data: bytes) -> None:
         """Decodes and handles received frames."""
@@ -203,7 +218,14 @@
         self._peer_hello = hello
         label = _INITIATOR_LABEL if self._is_initiator else _ACCEPTOR_LABEL
         key_id, tag = self._signer.sign(self._transcript(label))
-        self.send(wire.Frame(proof=wire.Proof(key_id=key_id, tag=tag)))
+        self.send(
+            wire.Frame(
+                proof=wire.Proof(key_id=key_id, tag=tag),
+                # An earlier version ignores the field beside a proof, but would
+                # reject a frame that holds nothing else.
+                accepts_compression=self._compression is not None or None,
+            )
+        )
         self._frame_handler = self._handle_proof
 
     def _transcript(self, label: bytes) -> bytes:
@@ -225,11 +247,15 @@
         self._cancel_handshake_timer()
         self._decoder.max_frame_bytes = self._max_frame_bytes
         self.peer = self._peer_hello
+        if self._compression is not None and frame.accepts_compression:
+            self._compressor = FrameCompressor(self._compression)
         self._frame_handler = self._handle_message
         self._events.connection_ready(self)
 
     def _handle_message(self, frame: wire.Frame) -> None:
-        if frame.ping is not None:
+        if frame.compressed is not None:
+            self._decompress(frame.compressed)
+        elif frame.ping is not None:
             pong = wire.Pong(sequence=frame.ping.sequence)
             self.send(wire.Frame(pong=pong))
         elif frame.pong is not None:
@@ -237,6 +263,24 @@
         else:
             self._events.frame_received(self, frame)
 
+    def _decompress(self, data: bytes) -> None:
+        """Handles the frames in a part of the peer's compressed stream.
+
+        Raises:
+            FrameError: If compression was not offered, or if the stream or a
+                frame in it is invalid.
+        """
+        if self._compression is None:
+            raise FrameError("unexpected_compression", 0, "was not offered")
+        if self._decompressor is None:
+            self._decompressor = FrameDecompressor(self._compression)
+        self._decompressor.feed(data, self._handle_decompressed)
+
+    def _handle_decompressed(self, frame: wire.Frame) -> None:
+        if frame.compressed is not None:
+            raise FrameError("nested_compression", 0, "compressed twice")
+        self._handle_frame(frame)
+
     def ping(self, sequence: int) -> None:
         """Sends a ping, which the peer answers with a pong."""
         self.send(wire.Frame(ping=wire.Ping(sequence=sequence)))
@@ -342,6 +386,7 @@
     signer: Signer,
     events: ConnectionEvents,
     timeout_s: float = 3.0,
+    compression: CompressionTotals | None = None,
 ) -> NodeConnection:
     """Opens a connection to another node.
 
@@ -354,11 +399,21 @@
         signer: Cluster keys.
         events: Receives the events of the connection.
         timeout_s: Seconds to wait for the TCP connection.
+        compression: Totals of compressed bytes; None to send and read no
+            compressed frames.
 
     Returns:
         The connection, which is not yet open or authenticated.
     """
-    connection = NodeConnection(reactor, identity, epoch, signer, True, events)
+    connection = NodeConnection(
+        reactor,
+        identity,
+        epoch,
+        signer,
+        True,
+        events,
+        compression=compression,
+    )
     reactor.connectTCP(
         *address, _InitiatorFactory(connection, events), timeout=timeout_s
     )
@@ -373,6 +428,7 @@
     """
 
     __slots__ = (
+        "_compression",
         "_connections",
         "_events",
         "_factory",
@@ -390,8 +446,14 @@
         signer: Signer,
         events: ConnectionEvents,
         max_connections: int = 8192,
+        compression: CompressionTotals | None = None,
     ) -> None:
-        """Configures a listener; `start` opens it."""
+        """Configures a listener; `start` opens it.
+
+        With `compression`, frames are compressed on the connections whose
+        opening side offers that.
+        """
+        self._compression = compression
         self._reactor = reactor
         self._identity = identity
         self._signer = signer
@@ -432,7 +494,13 @@
             self._events.connection_rejected("too_many_connections")
             return None
         connection = NodeConnection(
-            self._reactor, self._identity, 0, self._signer, False, self
+            self._reactor,
+            self._identity,
+            0,
+            self._signer,
+            False,
+            self,
+            compression=self._compression,
         )
         self._connections.add(connection)
         return connection
