Learned capacity: concurrency limits by trials, wired behind the feature

Cause: upstreams that slow down long before they are full are filled up to 0.94 of their stated slots, where they serve less than at a lower concurrency. AdmissionController takes the limit through the protocol LimitLearner; Answer.learned_slots states it, and senders use it in place of the stated slots. Off without the feature learned_capacity.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -19,7 +19,9 @@
 )
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
+from radishtray_node._capacity_monitor import CapacityMonitor
 from radishtray_node._decision_log import DecisionLog
+from radishtray_node._features import Feature
 from radishtray_node._fleet import ConfigurationSource, Fleet, ReleasePuller
 from radishtray_node._forwarding import HeaderForwarding
 from radishtray_node._gateway_settings import GatewaySettings
@@ -260,6 +262,7 @@
         forwarding = HeaderForwarding(
             self.settings.headers, _UPSTREAM_IDLE_LIMIT_S
         )
+        capacity = self._build_capacity_monitor()
         upstream = LocalUpstream(
             self._reactor,
             self.clock,
@@ -277,6 +280,7 @@
             response_memory_bytes=int(
                 self.settings.memory_bytes * _ANSWER_MEMORY_SHARE
             ),
+            limit_learner=capacity,
         )
         server = UpstreamServer(
             self.clock,
@@ -301,8 +305,15 @@
             self._announce_failures,
             self._on_upstream_leaving,
         )
+        if capacity is not None:
+            server.learned_slots = capacity.answer_slots
         return server, upstream
 
+    def _build_capacity_monitor(self) -> CapacityMonitor | None:
+        if Feature.LEARNED_CAPACITY not in self.settings.features:
+            return None
+        return CapacityMonitor(self.metrics, lambda: self._stated_slots)
+
     def _build_router(self) -> CallRouter:
         return CallRouter(
             self.settings.node_id,
@@ -587,13 +598,18 @@
         """
         return self._upstream_reports.accept_leave(instance, started_ms)
 
+    @property
+    def _stated_slots(self) -> int:
+        """Slots that the upstream states; 0 without an upstream."""
+        announcement = self.upstream.announcement
+        return announcement.slots if announcement else 0
+
     def _on_upstream_change(self) -> None:
         self._upstream_server.failures.reset()
         announcement = self.upstream.announcement
-        slots = announcement.slots if announcement else 0
         self.fleet.announce(
             self.settings.service,
-            slots,
+            self._stated_slots,
             announcement is not None,
             announcement.process_digest if announcement else 0,
         )
--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -398,7 +398,9 @@
             service_s = server.clock.monotonic() - self._phase_started_s
             server.service_timer.record(service_s)
             server.upstream.admission.finish(
-                ticket, service_s if is_measured else None
+                ticket,
+                service_s if is_measured else None,
+                self._parent.waited_s if self._parent is not None else 0.0,
             )
 
     def cancel(self) -> None:
--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -15,6 +15,7 @@
     Clock,
     CrashSuspects,
     CrashTally,
+    LimitLearner,
     RefusalReason,
     digest_63_bits,
 )
@@ -228,6 +229,7 @@
         *,
         is_restart: bool = False,
         response_memory_bytes: int = _DEFAULT_RESPONSE_MEMORY_BYTES,
+        limit_learner: LimitLearner | None = None,
     ) -> None:
         """Creates the state before the first announcement.
 
@@ -249,6 +251,8 @@
                 request rate of the upstream.
             response_memory_bytes: Memory for large responses that are being
                 read.
+            limit_learner: Learns a concurrency limit below the used slots;
+                None for none.
         """
         self._on_response_fault = on_response_fault
         self._large_bodies = LargeBodyLimit(response_memory_bytes)
@@ -268,6 +272,7 @@
             admission_policy,
             used_share,
             is_restart=is_restart,
+            learner=limit_learner,
         )
         self.suspects = suspects
 
--- a/packages/node/radishtray_node/_outgoing_call.py
+++ b/packages/node/radishtray_node/_outgoing_call.py
@@ -291,6 +291,7 @@
             answer.queue_ms,
             reason=result.refusal,
             is_server_error=result.is_server_error,
+            learned_slots=answer.learned_slots,
         )
         if result.crashed:
             self._crash_count += 1
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -138,7 +138,7 @@
         self._call = call
         self._http.on_disconnect = self._on_disconnect
         if self._parent is not None:
-            self._parent.open_calls += 1
+            self._parent.begin_call(self._entry.router.clock.monotonic())
         if self._identity.is_limited:
             self._token_wait = self._entry.gate.acquire(
                 self._identity, self._on_token
@@ -217,7 +217,7 @@
         """Records the end of a call in the request that it was made for."""
         parent = self._parent
         if parent is not None:
-            parent.open_calls -= 1
+            parent.end_call(self._entry.router.clock.monotonic())
             if has_failed:
                 parent.has_failed_call = True
             else:
--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -318,6 +318,7 @@
             answer.queue_ms,
             reason=result.refusal,
             is_server_error=result.is_server_error,
+            learned_slots=answer.learned_slots,
         )
         if self._is_done:
             return
--- a/packages/node/radishtray_node/_upstream_server.py
+++ b/packages/node/radishtray_node/_upstream_server.py
@@ -55,6 +55,8 @@
         is_draining: Whether new calls are refused.
         is_key_withdrawn: Returns whether the organisations' keys in force no
             longer contain that of a call.
+        learned_slots: Returns the slots that the upstream has been learned to
+            handle well; None if these are the stated ones.
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         "is_draining",
         "is_key_withdrawn",
         "key_owner",
+        "learned_slots",
         "metrics",
         "on_failure",
         "on_key_not_owned",
@@ -139,6 +142,7 @@
         self.running_calls: set[IncomingCall] = set()
         self.is_draining = False
         self.is_key_withdrawn: Callable[[wire.Call], bool] = lambda _call: False
+        self.learned_slots: Callable[[], int | None] = lambda: None
         self._unfinished_calls = 0
         self._is_expiry_scheduled = False
         self._last_success_s = 0.0
@@ -341,4 +345,5 @@
             crashed=result.crashed or None,
             call_failed=result.call_failed or None,
             chain_threshold=chain_threshold or None,
+            learned_slots=self.learned_slots(),
         )
--- a/packages/state/radishtray_state/__init__.py
+++ b/packages/state/radishtray_state/__init__.py
@@ -82,6 +82,7 @@
     LeaseObserver,
     LeaseRecord,
 )
+from radishtray_state._limit_learner import LimitLearner, ObservedRun
 from radishtray_state._member import (
     MemberChange,
     MemberRecord,
@@ -186,12 +187,14 @@
     "LeaseDecision",
     "LeaseObserver",
     "LeaseRecord",
+    "LimitLearner",
     "ManualClock",
     "MemberChange",
     "MemberRecord",
     "MemberState",
     "Membership",
     "MembershipParameters",
+    "ObservedRun",
     "OpenResult",
     "OutcomeFamily",
     "OutstandingAttempts",
--- a/packages/state/radishtray_state/_admission.py
+++ b/packages/state/radishtray_state/_admission.py
@@ -13,6 +13,7 @@
 
 from radishtray_state._admission_policy import ADMISSION_POLICIES
 from radishtray_state._clock import Clock
+from radishtray_state._limit_learner import LimitLearner, ObservedRun
 from radishtray_state._rank_queue import (
     DONE,
     QUEUED,
@@ -68,6 +69,8 @@
         "_expiries",
         "_expiry_sequence",
         "_in_flight",
+        "_learned_limit",
+        "_learner",
         "_policy",
         "_queue",
         "_ramp_s",
@@ -89,6 +92,7 @@
         used_share: float = 1.0,
         *,
         is_restart: bool = False,
+        learner: LimitLearner | None = None,
     ) -> None:
         """Starts with all slots available, an empty queue and threshold 0.
 
@@ -103,6 +107,7 @@
                 slots lowers their throughput.
             is_restart: Whether an earlier process of the node may have known a
                 request rate of the upstream.
+            learner: Learns a limit below the used slots; None for none.
 
         Raises:
             ValueError: If the policy is unknown, slots is not positive or the
@@ -131,6 +136,8 @@
         self._ramp_started_at = 0.0
         self._ramp_s = 0.0
         self._window_start = clock.monotonic() - rng.random() * _WINDOW_S
+        self._learner = learner
+        self._learned_limit = 0
         self._slots = 0
         self.set_slots(slots)
 
@@ -167,7 +174,7 @@
         return min(slot_limit / mean_service_s, self.stated_limit.rate_per_s)
 
     def set_slots(self, slots: int) -> None:
-        """Sets the number of slots.
+        """Sets the number of slots, and discards what was learned of them.
 
         Requests that already run above a lowered limit continue.
 
@@ -177,6 +184,9 @@
         if slots < 1:
             raise ValueError(f"an upstream needs at least 1 slot, not {slots}")
         self._slots = max(1, int(slots * self._used_share))
+        self._learned_limit = self._slots
+        if self._learner is not None:
+            self._learner.reset(self._slots)
         self._dispatch()
 
     def begin_cold_start(self, duration_s: float) -> None:
@@ -206,26 +216,45 @@
         if policy.enforces_deadlines and self._would_miss_deadline(ticket, now):
             return RefusalReason.DEADLINE_EXPECTED
         if not self._queue.size and self._try_start(now):
-            self._run(ticket)
+            self._run(ticket, now)
             return None
         return self._enqueue(ticket)
 
-    def finish(self, ticket: Ticket, service_s: float | None) -> None:
+    def finish(
+        self,
+        ticket: Ticket,
+        service_s: float | None,
+        waited_s: float = 0.0,
+    ) -> None:
         """Frees the slot of a running ticket; idempotent.
 
         Args:
             ticket: A ticket that got a slot.
             service_s: Service time in seconds; None if the slot was returned
                 without a service time to learn from.
+            waited_s: Part of the service time in which the request waited for
+                calls of its own.
         """
         if ticket.state != RUNNING:
             return
         ticket.state = DONE
         self._in_flight -= 1
+        if ticket.observed_run is not None:
+            self._observe(ticket.observed_run, service_s, waited_s)
         if service_s is not None:
             self._service_times.add(ticket.kind, service_s)
         self._dispatch()
 
+    def _observe(
+        self, run: ObservedRun, service_s: float | None, waited_s: float
+    ) -> None:
+        assert self._learner is not None
+        if service_s is None:
+            self._learner.abandon(run)
+            return
+        limit = self._learner.finish(run, self._clock.monotonic(), waited_s)
+        self._learned_limit = min(limit, self._slots)
+
     def cancel(self, ticket: Ticket) -> bool:
         """Removes a queued ticket without calling its callbacks.
 
@@ -261,13 +290,13 @@
 
     def _slot_limit(self, now: float) -> int:
         if not self._ramp_s:
-            return self._slots
+            return self._learned_limit
         progress = (now - self._ramp_started_at) / self._ramp_s
         if progress >= 1.0:
             self._ramp_s = 0.0
-            return self._slots
+            return self._learned_limit
         share = _COLD_START_SHARE + (1 - _COLD_START_SHARE) * progress
-        return max(1, int(self._slots * share))
+        return min(self._learned_limit, max(1, int(self._slots * share)))
 
     def _try_start(self, now: float) -> bool:
         """Takes the permission to run one request, if there is one."""
@@ -291,9 +320,13 @@
             return time_left_s < self._service_times.median(ticket.kind)
         return time_left_s < self._service_times.tail(ticket.kind)
 
-    def _run(self, ticket: Ticket) -> None:
+    def _run(self, ticket: Ticket, now: float) -> None:
         ticket.state = RUNNING
         self._in_flight += 1
+        if self._learner is not None:
+            ticket.observed_run = self._learner.begin(
+                ticket.kind, self._in_flight, now
+            )
         ticket.on_run()
 
     def _enqueue(self, ticket: Ticket) -> RefusalReason | None:
@@ -340,7 +373,7 @@
                     self.stated_limit.give_back()
                     self._drop(ticket, _deadline_reason(ticket, now))
                 else:
-                    self._run(ticket)
+                    self._run(ticket, now)
         finally:
             self._dispatching = False
 
--- a/packages/state/radishtray_state/_call_chain.py
+++ b/packages/state/radishtray_state/_call_chain.py
@@ -30,9 +30,12 @@
         open_calls: Calls made for the request that have no answer yet.
         served_calls: Calls made for the request that were served.
         has_failed_call: Whether such a call was refused or failed.
+        waited_s: Time in which such calls were open, without those that are
+            open now.
     """
 
     __slots__ = (
+        "_waits_since_s",
         "has_failed_call",
         "is_repeat",
         "kind",
@@ -40,6 +43,7 @@
         "open_calls",
         "priority_class",
         "served_calls",
+        "waited_s",
     )
 
     def __init__(
@@ -53,6 +57,28 @@
         self.open_calls = 0
         self.served_calls = 0
         self.has_failed_call = False
+        self.waited_s = 0.0
+        self._waits_since_s = 0.0
+
+    def begin_call(self, now_s: float) -> None:
+        """Records that a call made for the request has begun.
+
+        Args:
+            now_s: Present monotonic time.
+        """
+        if not self.open_calls:
+            self._waits_since_s = now_s
+        self.open_calls += 1
+
+    def end_call(self, now_s: float) -> None:
+        """Records that a call made for the request has ended.
+
+        Args:
+            now_s: Present monotonic time.
+        """
+        self.open_calls -= 1
+        if not self.open_calls:
+            self.waited_s += now_s - self._waits_since_s
 
     @property
     def call_level(self) -> int:
--- a/packages/state/radishtray_state/_rank_queue.py
+++ b/packages/state/radishtray_state/_rank_queue.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from radishtray_state._limit_learner import ObservedRun
 from radishtray_state._refusal import RefusalReason
 
 LEVELS_PER_CLASS = 128
@@ -28,10 +29,19 @@
         on_run: Called once when the ticket gets a slot.
         on_drop: Called once when the queued ticket is dropped.
         kind: Kind of the request.
+        observed_run: Its run, if a concurrency limit is learned from it.
         state: `NEW`, `QUEUED`, `RUNNING` or `DONE`.
     """
 
-    __slots__ = ("deadline", "kind", "on_drop", "on_run", "rank", "state")
+    __slots__ = (
+        "deadline",
+        "kind",
+        "observed_run",
+        "on_drop",
+        "on_run",
+        "rank",
+        "state",
+    )
 
     def __init__(
         self,
@@ -62,6 +72,7 @@
         self.on_run = on_run
         self.on_drop = on_drop
         self.kind = kind
+        self.observed_run: ObservedRun | None = None
         self.state = NEW
 
 
--- a/packages/state/radishtray_state/_selection.py
+++ b/packages/state/radishtray_state/_selection.py
@@ -22,6 +22,9 @@
     (RefusalReason.DRAINING, RefusalReason.NO_UPSTREAM)
 )
 _LOAD_REPORT_TTL_S = 1.0
+# A node learns the capacity of its upstream over seconds, so its last statement
+# remains useful for longer than its load.
+_LEARNED_SLOTS_TTL_S = 10.0
 _LATENCY_TIME_CONSTANT_S = 1.0
 _REFUSAL_TIME_CONSTANT_S = 0.5
 # Share of the requests that are sent although every known threshold is above
@@ -117,6 +120,8 @@
         "_is_lost",
         "_last_refusal_at",
         "_latency_updated_at",
+        "_learned_slots",
+        "_learned_slots_expire_at",
         "_load_reported_at",
         "_recent_refusals",
         "_reported_in_flight",
@@ -138,6 +143,8 @@
         self._recent_refusals = 0.0
         self._last_refusal_at = -inf
         self._reported_in_flight = 0
+        self._learned_slots = 0
+        self._learned_slots_expire_at = -inf
         self._threshold = 0
         self._threshold_expires_at = -inf
         self._warm_up_started_at = warm_up_started_at
@@ -164,7 +171,7 @@
             queue_s = self.queue_s
         # The sender's outstanding attempts are counted in addition: they are
         # newer than the report, and they increase when a node stops answering.
-        load = (in_flight + self.outstanding) / self.candidate.slots
+        load = (in_flight + self.outstanding) / self._slots(now)
         cost = (self.latency_s + queue_s) * (0.5 + load)
         cost *= self._failure_cost_factor
         if self._recent_refusals:
@@ -178,6 +185,12 @@
             cost *= factor / max(warm_up_progress, _WARM_UP_START_SHARE)
         return cost
 
+    def _slots(self, now: float) -> int:
+        """Returns the learned slots, or the stated ones without a report."""
+        if now < self._learned_slots_expire_at:
+            return min(self._learned_slots, self.candidate.slots)
+        return self.candidate.slots
+
     def update_candidate(self, candidate: Candidate) -> None:
         if candidate != self.candidate:
             self.candidate = candidate
@@ -193,6 +206,7 @@
         *,
         reason: RefusalReason | None,
         is_server_error: bool,
+        learned_slots: int | None,
     ) -> None:
         self.outstanding = max(0, self.outstanding - 1)
         self._threshold = (
@@ -202,6 +216,11 @@
         self._load_reported_at = now
         self._reported_in_flight = in_flight
         self.queue_s = queue_ms / 1000
+        if learned_slots is not None and learned_slots > 0:
+            self._learned_slots = learned_slots
+            self._learned_slots_expire_at = now + _LEARNED_SLOTS_TTL_S
+        else:
+            self._learned_slots_expire_at = -inf
         if reason is None:
             # An upstream may fail requests faster than it serves them, which
             # must not attract more of them.
@@ -433,6 +452,7 @@
         *,
         reason: RefusalReason | None,
         is_server_error: bool = False,
+        learned_slots: int | None = None,
     ) -> None:
         """Records an answer and the load report that it carries.
 
@@ -444,6 +464,8 @@
             queue_ms: Milliseconds in which its queue would drain.
             reason: Reason if the answer is a refusal, else None.
             is_server_error: Whether the upstream answered with status 5xx.
+            learned_slots: Slots that the node has learned its upstream to
+                handle well; None if these are the stated ones.
         """
         peer = self._peers.get(node_id)
         if peer is not None:
@@ -455,6 +477,7 @@
                 queue_ms,
                 reason=reason,
                 is_server_error=is_server_error,
+                learned_slots=learned_slots,
             )
 
     def record_loss(self, node_id: str) -> None:
