Costs of routes at scarce services, stated in answers

Cause: entry nodes shed requests of a class alike, whatever they take of the service that is short of capacity.

--- a/packages/node/radishtray_node/_call_result.py
+++ b/packages/node/radishtray_node/_call_result.py
@@ -2,6 +2,8 @@
 
 import json
 
+from radishtray_node._service_uses import uses_from_wire
+from radishtray_overload import ServiceUse
 from radishtray_protocol import wire
 from radishtray_state import RefusalReason
 from radishtray_transport import HeaderList
@@ -24,6 +26,8 @@
         retry_key: Key with which a refused request can be sent again, or None.
         call_failed: Whether a call that the upstream made for the request
             failed.
+        service_uses: What the request and the calls made for it used of scarce
+            services.
     """
 
     __slots__ = (
@@ -33,6 +37,7 @@
         "headers",
         "refusal",
         "retry_key",
+        "service_uses",
         "status",
     )
 
@@ -46,8 +51,10 @@
         retry_key: str | None = None,
         *,
         call_failed: bool = False,
+        service_uses: tuple[ServiceUse, ...] = (),
     ) -> None:
         """Creates a result from its parts; see also `refused`."""
+        self.service_uses = service_uses
         self.call_failed = call_failed
         self.retry_key = retry_key
         self.status = status
@@ -110,6 +117,7 @@
                 answer.headers,
                 answer.body,
                 call_failed=bool(answer.call_failed),
+                service_uses=uses_from_wire(answer.service_uses),
             )
         reason = RefusalReason.from_wire_name(answer.refusal)
         if reason is None:
--- a/packages/node/radishtray_node/_incoming_call.py
+++ b/packages/node/radishtray_node/_incoming_call.py
@@ -10,6 +10,7 @@
 from radishtray_node._request_parts import strip_radishtray_headers
 from radishtray_node._running_request import RunningRequest
 from radishtray_node._timers import Timer
+from radishtray_overload import ServiceUse
 from radishtray_protocol import wire
 from radishtray_state import (
     KeyVerdict,
@@ -334,6 +335,7 @@
             response.body,
             call_failed=self._parent is not None
             and self._parent.has_failed_call,
+            service_uses=self._service_uses(),
         )
         if result.is_server_error:
             self._record_failure(is_timeout=result.status == _GATEWAY_TIMEOUT)
@@ -347,6 +349,20 @@
             self._server.key_owner.finish(self._key, result)
         self._finish(result)
 
+    def _service_uses(self) -> tuple[ServiceUse, ...]:
+        """Returns what this run and its calls used of scarce services."""
+        server = self._server
+        announcement = server.upstream.announcement
+        if server.run_uses is None or announcement is None:
+            return ()
+        return server.run_uses.finish(
+            self._parent,
+            self._call.service_name,
+            self._phase_started_s,
+            server.upstream.admission,
+            announcement.slots,
+        )
+
     def _record_failure(self, *, is_timeout: bool) -> None:
         self._server.record_failure(
             self._parent, self._phase_started_s, is_timeout=is_timeout
--- a/packages/node/radishtray_node/_upstream_server.py
+++ b/packages/node/radishtray_node/_upstream_server.py
@@ -8,6 +8,7 @@
 from radishtray_node._local_upstream import LocalUpstream, UpstreamProcess
 from radishtray_node._metrics import Metrics
 from radishtray_node._running_request import MAX_CALL_DEPTH, RunningRequests
+from radishtray_node._service_uses import RunUses, uses_to_wire
 from radishtray_node._timers import TimerWheel
 from radishtray_protocol import wire
 from radishtray_state import (
@@ -55,6 +56,8 @@
         is_draining: Whether new calls are refused.
         is_key_withdrawn: Returns whether the organisations' keys in force no
             longer contain that of a call.
+        run_uses: Sums what runs use of scarce services; None if answers do not
+            state it.
     """
 
     __slots__ = (
@@ -76,6 +79,7 @@
         "on_leaving",
         "queue_timer",
         "rejection_repeats",
+        "run_uses",
         "running_calls",
         "running_requests",
         "service_timer",
@@ -138,6 +142,7 @@
         self.service_timer = metrics.create_stage_timer("upstream")
         self.running_calls: set[IncomingCall] = set()
         self.is_draining = False
+        self.run_uses: RunUses | None = None
         self.is_key_withdrawn: Callable[[wire.Call], bool] = lambda _call: False
         self._unfinished_calls = 0
         self._is_expiry_scheduled = False
@@ -341,4 +346,9 @@
             crashed=result.crashed or None,
             call_failed=result.call_failed or None,
             chain_threshold=chain_threshold or None,
+            service_uses=(
+                uses_to_wire(result.service_uses)
+                if result.service_uses
+                else None
+            ),
         )
--- a/packages/state/radishtray_state/_call_chain.py
+++ b/packages/state/radishtray_state/_call_chain.py
@@ -30,6 +30,8 @@
         open_calls: Calls made for the request that have no answer yet.
         served_calls: Calls made for the request that were served.
         has_failed_call: Whether such a call was refused or failed.
+        service_uses: Slot time in microseconds and fill in percent, by scarce
+            service, that the answers to its calls stated; None if none did.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         "open_calls",
         "priority_class",
         "served_calls",
+        "service_uses",
     )
 
     def __init__(
@@ -53,6 +56,7 @@
         self.open_calls = 0
         self.served_calls = 0
         self.has_failed_call = False
+        self.service_uses: dict[str, tuple[int, int]] | None = None
 
     @property
     def call_level(self) -> int:
