Entry order: levels of first requests by what their routes need

Cause: routes of a class get the same levels, so a route that takes a third of another one's slot time is shed as often, and a request to the scarce service itself (levels below 32) competes with calls of chains (8 to 127). Change: the feature entry_order divides the levels of a class into bands by cost; a return after Retry-After comes first in its band; a direct request is raised to the level of calls of chains of which as little is left. Off: levels as before. Effect under load not measured yet.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -20,6 +20,8 @@
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
 from radishtray_node._decision_log import DecisionLog
+from radishtray_node._entry_decisions import EntryDecisions
+from radishtray_node._features import Feature
 from radishtray_node._fleet import ConfigurationSource, Fleet, ReleasePuller
 from radishtray_node._forwarding import HeaderForwarding
 from radishtray_node._gateway_settings import GatewaySettings
@@ -33,6 +35,7 @@
 from radishtray_node._reactor import uncached
 from radishtray_node._route_entry import CrashBlocklist, RouteEntry
 from radishtray_node._running_request import RunningRequests
+from radishtray_node._service_uses import RunUses
 from radishtray_node._timers import TimerWheel
 from radishtray_node._unknown_outcomes import UnknownOutcomes
 from radishtray_node._unsent_answers import call_when_sent
@@ -236,6 +239,7 @@
             lambda organisation, refusal: self._organisations.count(
                 organisation, refusal.value if refusal else "answered"
             ),
+            EntryDecisions(self.clock, self._rng, settings.features),
         )
         self._node_server = NodeServer(
             self.clock,
@@ -301,6 +305,8 @@
             self._announce_failures,
             self._on_upstream_leaving,
         )
+        if Feature.ENTRY_ORDER in self.settings.features:
+            server.run_uses = RunUses(self.clock)
         return server, upstream
 
     def _build_router(self) -> CallRouter:
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -13,6 +13,7 @@
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
 from radishtray_node._decision_log import DecisionLog
+from radishtray_node._entry_decisions import EntryDecisions
 from radishtray_node._forwarding import HOST_HEADER, HeaderNames
 from radishtray_node._organisation_gate import (
     ANONYMOUS,
@@ -25,7 +26,6 @@
 from radishtray_organisations import TokenVerdict, TokenWait
 from radishtray_protocol import Route, RouteTable
 from radishtray_state import (
-    FIRST_LEVELS,
     ArrivalBudget,
     CallChains,
     CrashTally,
@@ -195,6 +195,7 @@
         )
         held_s = entry.router.clock.monotonic() - self._started_s
         entry.timer.record(held_s)
+        entry.decisions.record(self._route, self._parent, result)
         if result.refusal is None:
             self._http.respond(result.status, result.headers, result.body)
             return
@@ -253,6 +254,7 @@
         gate: Identifies callers by the keys of organisations.
         count_organisation: Counts a request of an organisation, by name, and
             why it was refused, if it was.
+        decisions: Decisions under load that features switch on.
     """
 
     __slots__ = (
@@ -268,6 +270,7 @@
         "chains",
         "count_organisation",
         "crash_blocklist",
+        "decisions",
         "exchanges",
         "gate",
         "log",
@@ -288,6 +291,7 @@
         log: DecisionLog,
         gate: OrganisationGate,
         count_organisation: Callable[[str, RefusalReason | None], None],
+        decisions: EntryDecisions,
     ) -> None:
         """Starts without a configuration.
 
@@ -303,7 +307,9 @@
             gate: Identifies callers by the keys of organisations.
             count_organisation: Counts a request of an organisation, by name,
                 and why it was refused, if it was.
+            decisions: Decisions under load that features switch on.
         """
+        self.decisions = decisions
         self.gate = gate
         self.count_organisation = count_organisation
         self.router = router
@@ -370,6 +376,7 @@
                 )
         self._split_round_robins = round_robins
         self._table = table
+        self.decisions.apply(table)
 
     def may_overlap(self, http: HttpRequest) -> bool:
         """Returns whether a request may overlap others on its connection."""
@@ -432,6 +439,7 @@
         )
         self.exchanges.add(exchange)
         method = http.method.decode("latin-1")
+        priority_class = _priority_class(parent, identity, route)
         request = RoutedRequest(
             request_id,
             method,
@@ -440,8 +448,12 @@
             http.body,
             # Without the service, since the route may change or be split.
             fingerprint("", method + host, uri, http.body),
-            _priority_class(parent, identity, route),
-            parent.call_level if parent else self._rng.randrange(FIRST_LEVELS),
+            priority_class,
+            parent.call_level
+            if parent
+            else self.decisions.draw_level(
+                route, service, priority_class, caller_timeout_s
+            ),
             has_parent=parent is not None,
             is_repeat=parent is not None and parent.is_repeat,
             identity=identity,
--- a/packages/overload/radishtray_overload/__init__.py
+++ b/packages/overload/radishtray_overload/__init__.py
@@ -4,6 +4,12 @@
 sources of randomness are passed in.
 """
 
+from radishtray_overload._entry_order import (
+    MIN_RETRY_AFTER_S,
+    RETRY_AFTER_MAX_SHARE,
+    EntryOrder,
+    ReturnDetector,
+)
 from radishtray_overload._route_costs import (
     MAX_SERVICES,
     RouteCost,
@@ -16,6 +22,10 @@
 
 __all__ = [
     "MAX_SERVICES",
+    "MIN_RETRY_AFTER_S",
+    "RETRY_AFTER_MAX_SHARE",
+    "EntryOrder",
+    "ReturnDetector",
     "RouteCost",
     "RouteCosts",
     "ServiceUse",
