--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -13,6 +13,7 @@
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
 from radishtray_node._decision_log import DecisionLog
+from radishtray_node._entry_decisions import EntryDecisions
 from radishtray_node._forwarding import HOST_HEADER, HeaderNames
 from radishtray_node._organisation_gate import (
     ANONYMOUS,
@@ -25,7 +26,7 @@
 from radishtray_organisations import (
     TokenVerdict,
     TokenWait,
-    draw_request_level,
+    place_request_level,
 )
 from radishtray_protocol import Route, RouteTable
 from radishtray_state import (
@@ -197,6 +198,7 @@
         )
         held_s = entry.router.clock.monotonic() - self._started_s
         entry.timer.record(held_s)
+        entry.decisions.record(self._route, self._parent, result)
         if result.refusal is None:
             self._http.respond(result.status, result.headers, result.body)
             return
@@ -255,6 +257,7 @@
         gate: Identifies callers by the keys of organisations.
         count_organisation: Counts a request of an organisation, by name, and
             why it was refused, if it was.
+        decisions: Decisions under load that features switch on.
     """
 
     __slots__ = (
@@ -270,6 +273,7 @@
         "chains",
         "count_organisation",
         "crash_blocklist",
+        "decisions",
         "exchanges",
         "gate",
         "log",
@@ -290,6 +294,7 @@
         log: DecisionLog,
         gate: OrganisationGate,
         count_organisation: Callable[[str, RefusalReason | None], None],
+        decisions: EntryDecisions,
     ) -> None:
         """Starts without a configuration.
 
@@ -305,7 +310,9 @@
             gate: Identifies callers by the keys of organisations.
             count_organisation: Counts a request of an organisation, by name,
                 and why it was refused, if it was.
+            decisions: Decisions under load that features switch on.
         """
+        self.decisions = decisions
         self.gate = gate
         self.count_organisation = count_organisation
         self.router = router
@@ -372,6 +379,7 @@
                 )
         self._split_round_robins = round_robins
         self._table = table
+        self.decisions.apply(table)
 
     def may_overlap(self, http: HttpRequest) -> bool:
         """Returns whether a request may overlap others on its connection."""
@@ -434,6 +442,7 @@
         )
         self.exchanges.add(exchange)
         method = http.method.decode("latin-1")
+        priority_class = _priority_class(parent, identity, route)
         request = RoutedRequest(
             request_id,
             method,
@@ -442,8 +451,12 @@
             http.body,
             # Without the service, since the route may change or be split.
             fingerprint("", method + host, uri, http.body),
-            _priority_class(parent, identity, route),
-            parent.call_level if parent else self._draw_level(route, identity),
+            priority_class,
+            parent.call_level
+            if parent
+            else self._draw_level(
+                route, service, identity, priority_class, caller_timeout_s
+            ),
             has_parent=parent is not None,
             is_repeat=parent is not None and parent.is_repeat,
             identity=identity,
@@ -481,17 +494,27 @@
 
         Requests of other organisations take precedence over it.
         """
-        return draw_request_level(
-            self._rng, route.priority_class, is_regular=False
+        return place_request_level(
+            self._rng.randrange(FIRST_LEVELS),
+            route.priority_class,
+            is_regular=False,
         )
 
-    def _draw_level(self, route: Route, identity: CallerIdentity) -> int:
+    def _draw_level(
+        self,
+        route: Route,
+        service: str,
+        identity: CallerIdentity,
+        priority_class: int,
+        budget_s: float,
+    ) -> int:
         """Returns the level of a first request within its class."""
-        if identity.priority_class is None:
-            return self._rng.randrange(FIRST_LEVELS)
-        return draw_request_level(
-            self._rng, route.priority_class, is_regular=True
+        level = self.decisions.draw_level(
+            route, service, priority_class, budget_s
         )
+        if identity.priority_class is None:
+            return level
+        return place_request_level(level, route.priority_class)
 
     def _count_request(self, route: str) -> None:
         counter = self._route_counters.get(route)
--- a/packages/organisations/radishtray_organisations/__init__.py
+++ b/packages/organisations/radishtray_organisations/__init__.py
@@ -25,7 +25,7 @@
 from radishtray_organisations._key_ages import KeyAges
 from radishtray_organisations._key_ring import KeyRing, parse_bearer
 from radishtray_organisations._organisation import Organisation, digest_key
-from radishtray_organisations._request_level import draw_request_level
+from radishtray_organisations._request_level import place_request_level
 
 __all__ = [
     "TOKEN_LIFETIME_S",
@@ -42,8 +42,8 @@
     "TokenVerdict",
     "TokenWait",
     "digest_key",
-    "draw_request_level",
     "grantable_share",
     "parse_bearer",
+    "place_request_level",
     "tokens_to_request",
 ]
--- a/packages/organisations/radishtray_organisations/tests/test_request_level.py
+++ b/packages/organisations/radishtray_organisations/tests/test_request_level.py
@@ -1,16 +1,14 @@
 """Tests of the order of organisations' requests."""
 
 from itertools import pairwise
-from random import Random
 
-from radishtray_organisations import draw_request_level
+from radishtray_organisations import place_request_level
 
 
 def _levels(route_class: int, *, is_regular: bool) -> set[int]:
-    rng = Random(1)
     return {
-        draw_request_level(rng, route_class, is_regular=is_regular)
-        for _ in range(200)
+        place_request_level(level, route_class, is_regular=is_regular)
+        for level in range(32)
     }
 
 
@@ -25,3 +23,8 @@
         assert max(lower) < min(higher)
     assert min(order[0]) == 0
     assert max(order[-1]) == 31
+
+
+def test_raised_requests_stay_raised() -> None:
+    """Guards against requests to a scarce service that fall behind chains."""
+    assert place_request_level(31 + 50, 2) == place_request_level(31, 2) + 50
--- a/packages/state/radishtray_state/_call_chain.py
+++ b/packages/state/radishtray_state/_call_chain.py
@@ -32,6 +32,8 @@
         has_failed_call: Whether such a call was refused or failed.
         waited_s: Time in which such calls were open, without those that are
             open now.
+        service_uses: Slot time in microseconds and fill in percent, by scarce
+            service, that the answers to its calls stated; None if none did.
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         "open_calls",
         "priority_class",
         "served_calls",
+        "service_uses",
         "waited_s",
     )
 
@@ -58,6 +61,7 @@
         self.served_calls = 0
         self.has_failed_call = False
         self.waited_s = 0.0
+        self.service_uses: dict[str, tuple[int, int]] | None = None
         self._waits_since_s = 0.0
 
     def begin_call(self, now_s: float) -> None:
