--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -19,7 +19,11 @@
 )
 from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
+from radishtray_node._capacity_monitor import CapacityMonitor
+from radishtray_node._compression_metrics import add_compression_gauge
 from radishtray_node._decision_log import DecisionLog
+from radishtray_node._entry_decisions import EntryDecisions
+from radishtray_node._features import Feature
 from radishtray_node._fleet import ConfigurationSource, Fleet, ReleasePuller
 from radishtray_node._forwarding import HeaderForwarding
 from radishtray_node._gateway_settings import GatewaySettings
@@ -33,6 +37,7 @@
 from radishtray_node._reactor import uncached
 from radishtray_node._route_entry import CrashBlocklist, RouteEntry
 from radishtray_node._running_request import RunningRequests
+from radishtray_node._service_uses import RunUses
 from radishtray_node._timers import TimerWheel
 from radishtray_node._unknown_outcomes import UnknownOutcomes
 from radishtray_node._unsent_answers import call_when_sent
@@ -59,6 +64,7 @@
     suspect_host,
 )
 from radishtray_transport import (
+    CompressionTotals,
     HttpLimits,
     HttpRequest,
     HttpServer,
@@ -117,6 +123,7 @@
 
     __slots__ = (
         "_arrival_budget",
+        "_compression",
         "_configuration",
         "_decode_table",
         "_ended_processes",
@@ -237,6 +244,7 @@
             lambda organisation, refusal: self._organisations.count(
                 organisation, refusal.value if refusal else "answered"
             ),
+            EntryDecisions(self.clock, self._rng, settings.features),
         )
         self._node_server = NodeServer(
             self.clock,
@@ -245,8 +253,19 @@
             self._on_control_frame,
             self._request_bodies,
         )
+        self._compression = (
+            CompressionTotals()
+            if Feature.FRAME_COMPRESSION in settings.features
+            else None
+        )
+        if self._compression is not None:
+            add_compression_gauge(self.metrics, self._compression)
         self._node_listener = NodeListener(
-            reactor, self.identity, settings.cluster_keys, self._node_server
+            reactor,
+            self.identity,
+            settings.cluster_keys,
+            self._node_server,
+            compression=self._compression,
         )
         self._listeners = self._build_listeners()
         self._periodic_calls = [
@@ -261,6 +280,7 @@
         forwarding = HeaderForwarding(
             self.settings.headers, _UPSTREAM_IDLE_LIMIT_S
         )
+        capacity = self._build_capacity_monitor()
         upstream = LocalUpstream(
             self._reactor,
             self.clock,
@@ -278,6 +298,7 @@
             response_memory_bytes=int(
                 self.settings.memory_bytes * _ANSWER_MEMORY_SHARE
             ),
+            limit_learner=capacity,
         )
         server = UpstreamServer(
             self.clock,
@@ -302,8 +323,17 @@
             self._announce_failures,
             self._on_upstream_leaving,
         )
+        if capacity is not None:
+            server.learned_slots = capacity.answer_slots
+        if Feature.ENTRY_ORDER in self.settings.features:
+            server.run_uses = RunUses(self.clock)
         return server, upstream
 
+    def _build_capacity_monitor(self) -> CapacityMonitor | None:
+        if Feature.LEARNED_CAPACITY not in self.settings.features:
+            return None
+        return CapacityMonitor(self.metrics, lambda: self._stated_slots)
+
     def _build_router(self) -> CallRouter:
         return CallRouter(
             self.settings.node_id,
@@ -531,8 +561,10 @@
 
     def _create_link(self, node_id: str) -> PeerLink | None:
         address = self.fleet.node_address(node_id)
-        if address is None:
+        member = self.fleet.membership.get(node_id)
+        if address is None or member is None:
             return None
+        is_same_domain = member.failure_domain == self.settings.failure_domain
         return PeerLink(
             self._reactor,
             self._timers,
@@ -548,6 +580,7 @@
             lambda calls, incarnation: self._on_process_ended(
                 node_id, calls, incarnation
             ),
+            None if is_same_domain else self._compression,
         )
 
     def _on_process_ended(
@@ -588,13 +621,18 @@
         """
         return self._upstream_reports.accept_leave(instance, started_ms)
 
+    @property
+    def _stated_slots(self) -> int:
+        """Slots that the upstream states; 0 without an upstream."""
+        announcement = self.upstream.announcement
+        return announcement.slots if announcement else 0
+
     def _on_upstream_change(self) -> None:
         self._upstream_server.failures.reset()
         announcement = self.upstream.announcement
-        slots = announcement.slots if announcement else 0
         self.fleet.announce(
             self.settings.service,
-            slots,
+            self._stated_slots,
             announcement is not None,
             announcement.process_digest if announcement else 0,
         )
