--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -299,7 +299,7 @@
             ),
             generation=self._version,
             repeatable=self.route.is_repeatable,
-            is_repeat=request.is_repeat or self._upstream_arrivals > 0,
+            is_repeat=request.is_repeat or self._upstream_arrivals > 0 or None,
             is_crash_probe=is_crash_probe or None,
         )
 
--- a/packages/protocol/radishtray_protocol/_frames.py
+++ b/packages/protocol/radishtray_protocol/_frames.py
@@ -130,21 +130,25 @@
     )
 
 
-def _read_compressed(body: bytes) -> bytes | None:
+def _read_compressed(buffer: bytes, start: int, end: int) -> bytes | None:
     """Returns the content of a frame that holds only compressed data.
 
+    Args:
+        buffer: Bytes that contain the struct of the frame.
+        start: Position of the struct in the buffer.
+        end: Position after the struct.
+
     Returns:
         The data, or None for any other frame, which Thrift has to decode.
     """
-    if not body.startswith(_COMPRESSED_FIELD):
+    size = end - start - _COMPRESSED_FRAME_EXTRA_BYTES
+    if size < 0 or buffer[end - 1] != _STRUCT_END[0]:
         return None
-    data = body[_COMPRESSED_FIELD_BYTES:-1]
-    (size,) = _LENGTH_PREFIX.unpack_from(
-        body.ljust(_COMPRESSED_FIELD_BYTES, _STRUCT_END), len(_COMPRESSED_FIELD)
+    data_start = start + _COMPRESSED_FIELD_BYTES
+    (stated_size,) = _LENGTH_PREFIX.unpack_from(
+        buffer, start + len(_COMPRESSED_FIELD)
     )
-    if size != len(data) or body[-1:] != _STRUCT_END:
-        return None
-    return data
+    return buffer[data_start : end - 1] if stated_size == size else None
 
 
 class FrameDecoder:
@@ -205,12 +209,13 @@
         self, buffer: bytes, start: int, end: int
     ) -> "ttypes.Frame":
         offset = self._offset + start
-        body = buffer[start + _LENGTH_PREFIX_BYTES : end]
-        compressed = _read_compressed(body)
-        if compressed is not None:
-            return ttypes.Frame(compressed=compressed)
+        start += _LENGTH_PREFIX_BYTES
+        if buffer.startswith(_COMPRESSED_FIELD, start):
+            compressed = _read_compressed(buffer, start, end)
+            if compressed is not None:
+                return ttypes.Frame(compressed=compressed)
         try:
-            frame = decode_struct(ttypes.Frame(), body)
+            frame = decode_struct(ttypes.Frame(), buffer[start:end])
             _validate_frame(frame)
         except FrameError as error:
             raise FrameError(error.reason, offset, str(error)) from error
--- a/packages/testing/radishtray_testing/_reference_texts.py
+++ b/packages/testing/radishtray_testing/_reference_texts.py
@@ -114,7 +114,10 @@
     "old_epoch": "A newer connection of the same process exists.",
     "too_many_senders": "The node's table of senders is full.",
     "frame_malformed": "A frame cannot be read; look for nodes of different versions.",
-    "frame_oversized": "A frame exceeds the size limit.",
+    "frame_oversized": "A frame, or a part of a compressed stream, exceeds the size limit.",
+    "frame_undecompressible": "A compressed stream cannot be decompressed; the node reconnects.",
+    "frame_nested_compression": "A compressed frame holds another one; the peer is faulty.",
+    "frame_unexpected_compression": "A compressed frame arrived that this node had not offered to read; the peer is faulty.",
 }  # fmt: skip
 
 STAGE_TEXTS: Final = {
--- a/packages/testing/radishtray_testing/frame_builders.py
+++ b/packages/testing/radishtray_testing/frame_builders.py
@@ -72,10 +72,13 @@
             context=context,
             generation=12,
             repeatable=True,
-            is_repeat=False,
         )
         return wire.Frame(call=call)
 
+    def build_body(self, size: int) -> bytes:
+        """Builds a body that does not compress."""
+        return self._rng.randbytes(size)
+
     def build_answer(
         self, call: wire.Call, body: bytes | None = None
     ) -> wire.Frame:
--- a/packages/testing/radishtray_testing/tests/test_reference.py
+++ b/packages/testing/radishtray_testing/tests/test_reference.py
@@ -62,6 +62,9 @@
     *(rejection.value for rejection in ConnectionRejection),
     "frame_malformed",
     "frame_oversized",
+    "frame_undecompressible",
+    "frame_nested_compression",
+    "frame_unexpected_compression",
 }
 STAGE_NAMES = {
     name
