Learned capacity: lower a limit that is not filled, too

Cause: an upstream above its knee may settle at a concurrency below the limit, where no trial was made; and a trial whose second window had not filled up was discarded although its throughput was lower. Change: trials below the concurrency in use; the second window must only be higher than the trial's by 1.15.

--- a/packages/overload/radishtray_overload/_capacity.py
+++ b/packages/overload/radishtray_overload/_capacity.py
@@ -28,6 +28,9 @@
 # A lower limit is at most this share of the present one: smaller differences
 # are not measurable within one window.
 _MAX_LOWERED_SHARE = 0.85
+# The window after the trial must have a concurrency that is higher by this
+# factor: without a knee its throughput is then higher, too.
+_COMPARABLE_RATIO = 1.15
 # Shares of the slots that are tried if nothing is known of them while the
 # upstream is full.
 _EXPLORED_SHARES = (0.6, 0.4, 0.75)
@@ -238,15 +241,16 @@
 
     def _finish_steady(self, result: WindowResult, now_s: float) -> None:
         self._before = result
-        if not result.is_filled:
-            self._suspected_since_s = None
-            self._begin(_Phase.STEADY, self._learned, now_s)
-            return
-        self._update_reference(result, now_s)
+        if result.is_filled:
+            self._update_reference(result, now_s)
         lower = self._lower_limit(result, now_s)
         if lower is not None:
             self._begin(_Phase.LOWERED, lower, now_s)
-        elif self._learned < self._slots and self._raising.is_due(now_s):
+        elif (
+            self._learned < self._slots
+            and result.is_filled
+            and self._raising.is_due(now_s)
+        ):
             raised = min(self._slots, self._learned + self._step)
             self._begin(_Phase.RAISED, raised, now_s)
         else:
@@ -265,13 +269,15 @@
 
     def _lower_limit(self, result: WindowResult, now_s: float) -> int | None:
         """Returns a lower limit to try, or None."""
-        highest = int(self._learned * _MAX_LOWERED_SHARE)
+        highest = int(result.concurrency * _MAX_LOWERED_SHARE)
         if highest < self._floor:
             return None
         best = self._bins.best(self._floor, highest, now_s)
         if best is None or best[1] < result.throughput * _SUSPECTED_GAIN:
             self._suspected_since_s = None
-            return self._explored_limit(highest, now_s)
+            if result.is_filled:
+                return self._explored_limit(highest, now_s)
+            return None
         if self._suspected_since_s is None:
             self._suspected_since_s = now_s
         if (
@@ -311,7 +317,7 @@
 
     def _finish_restored(self, result: WindowResult, now_s: float) -> None:
         assert self._trial is not None
-        if not result.is_filled:
+        if result.concurrency < self._trial.concurrency * _COMPARABLE_RATIO:
             # The demand has fallen, so that the two limits are not comparable.
             self._begin(_Phase.STEADY, self._learned, now_s)
             return
--- a/packages/overload/radishtray_overload/_capacity_window.py
+++ b/packages/overload/radishtray_overload/_capacity_window.py
@@ -152,6 +152,7 @@
 
     Attributes:
         limit: Concurrency limit that was in force.
+        concurrency: Mean concurrency at the starts of the runs.
         speed: Work per time in a slot.
         throughput: Work per time.
         mean_s: Mean service time.
@@ -161,6 +162,7 @@
     """
 
     __slots__ = (
+        "concurrency",
         "is_filled",
         "limit",
         "mean_s",
@@ -181,6 +183,7 @@
     ) -> None:
         """Stores the values."""
         self.limit = limit
+        self.concurrency = concurrency
         self.speed = speed
         self.throughput = speed * concurrency
         self.mean_s = mean_s
