Allotments: restarted nodes own nothing until they know the fleet

Cause: many nodes that restart together see only themselves at first, and each would grant the whole rate. Change: a node that is not started for the first time grants nothing for 1.5 s and until it knows another node; up to three candidates are asked, and one that grants nothing is passed over for 1 s.

--- a/packages/node/radishtray_node/_allotment_driver.py
+++ b/packages/node/radishtray_node/_allotment_driver.py
@@ -9,9 +9,9 @@
 from radishtray_state import Clock
 
 _ANSWER_TIMEOUT_S = 0.15
-# A node that has not answered is asked again after this time.
+# A node that has not answered or grants nothing is asked again after this time.
 _SILENCE_S = 1.0
-_MAX_OWNERS_ASKED = 2
+_MAX_OWNERS_ASKED = 3
 _MS_PER_S = 1000.0
 
 
@@ -105,7 +105,7 @@
         if request.owner == self._node_id:
             grant = self._owner.grant(request.name, request.requests)
             if grant is None:
-                self.leases.apply_failure(request.name)
+                self._pass_over(request)
             else:
                 self.leases.apply_grant(request.name, grant, request.asked_at_s)
             return
@@ -131,11 +131,12 @@
         request = self._pending.pop(sequence, None)
         if request is None:
             return
+        self._pass_over(request)
+
+    def _pass_over(self, request: _TokenRequest) -> None:
+        """Asks the next candidate, and does not ask this one for a while."""
         now_s = self._clock.monotonic()
         self._silent_until_s[request.owner] = now_s + _SILENCE_S
-        self._ask_next(request)
-
-    def _ask_next(self, request: _TokenRequest) -> None:
         if not request.others:
             self.leases.apply_failure(request.name)
             return
@@ -175,7 +176,6 @@
             return
         if request.timer is not None:
             request.timer.cancel()
-        self._silent_until_s.pop(request.owner, None)
         for share in granted.shares:
             if share.organisation == request.name:
                 grant = Grant(
@@ -183,10 +183,12 @@
                     share.regular or 0,
                     (share.retry_ms or 0) / _MS_PER_S,
                 )
+                self._silent_until_s.pop(request.owner, None)
                 self.leases.apply_grant(request.name, grant, request.asked_at_s)
                 return
-        # The owner's configuration does not hold this allotment.
-        self._ask_next(request)
+        # The node has just started, or its configuration does not hold this
+        # allotment.
+        self._pass_over(request)
 
     def tick(self) -> None:
         """Drops what is no longer needed; call it about once a second."""
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -223,6 +223,7 @@
             self._fleet_share,
             self.send_control,
             self.metrics,
+            is_first_start=settings.is_first_start,
         )
         self._upstream_server.is_key_withdrawn = self._is_key_withdrawn
         self._arrival_budget = ArrivalBudget(
--- a/packages/node/radishtray_node/_organisations.py
+++ b/packages/node/radishtray_node/_organisations.py
@@ -20,6 +20,7 @@
     AllotmentTolerance,
     FreshnessGuard,
     KeyAges,
+    is_ready_to_own,
 )
 from radishtray_protocol import RouteTable, wire
 from radishtray_state import Clock, MemberRecord, Membership, MemberState
@@ -83,6 +84,8 @@
         fleet_share: Callable[[], float],
         send: Callable[[str, wire.Frame], bool],
         metrics: Metrics,
+        *,
+        is_first_start: bool,
     ) -> None:
         """Builds the parts; `start` begins to ask for confirmations.
 
@@ -98,12 +101,23 @@
             fleet_share: Returns the share of the fleet that this node sees.
             send: Sends a control frame to a node.
             metrics: Metrics of this node.
+            is_first_start: Whether no earlier process of any node has run.
         """
         self._clock = uncached_clock
         self._settings = settings
         self._send = send
         self._guard = FreshnessGuard(uncached_clock, settings.limit_s)
-        self._owner = AllotmentOwner(clock, fleet_share, tolerance)
+        started_s = clock.monotonic()
+        self._owner = AllotmentOwner(
+            clock,
+            fleet_share,
+            tolerance,
+            lambda: is_ready_to_own(
+                membership().live_count,
+                clock.monotonic() - started_s,
+                is_first_start=is_first_start,
+            ),
+        )
         self._allotments = AllotmentDriver(
             clock,
             timers,
--- a/packages/node/radishtray_node/tests/test_organisations.py
+++ b/packages/node/radishtray_node/tests/test_organisations.py
@@ -236,3 +236,25 @@
     for found in statuses.values():
         assert found.count(429) == 0
         assert found.count(200) >= 8
+
+
+def test_restarted_nodes_do_not_all_take_themselves_for_the_owner() -> None:
+    """Guards against a limit that each of many restarted nodes grants."""
+    fleet = _build_fleet(_build_table(rate_per_s=10.0), nodes=6)
+    names = list(fleet.gateways)
+    for name in names:
+        fleet.kill(name)
+    fleet.run(1)
+    for name in names:
+        fleet.restart(name)
+    results = []
+    for number in range(200):
+        results.append(_send(fleet, f"r{number}", node=names[number % 6]))
+        fleet.run(0.01)
+    served = sum(result.status == 200 for result in results)
+    # 2 s of 10 a second and a burst of 4, with a tenth and 20 more tolerated.
+    assert served <= (2 * 10 + 4) * 1.1 + 20
+    fleet.run(5)
+    again = _send(fleet, "again")
+    fleet.run(1)
+    assert again.status == 200
--- a/packages/organisations/radishtray_organisations/__init__.py
+++ b/packages/organisations/radishtray_organisations/__init__.py
@@ -15,6 +15,7 @@
     AllotmentTolerance,
     Grant,
     grantable_share,
+    is_ready_to_own,
     tokens_to_request,
 )
 from radishtray_organisations._freshness import (
@@ -43,6 +44,7 @@
     "TokenWait",
     "digest_key",
     "grantable_share",
+    "is_ready_to_own",
     "parse_bearer",
     "place_request_level",
     "tokens_to_request",
--- a/packages/organisations/radishtray_organisations/_allotment_owner.py
+++ b/packages/organisations/radishtray_organisations/_allotment_owner.py
@@ -30,6 +30,10 @@
 # irregular to use them.
 _MIN_AHEAD = 2
 _AHEAD_LIFETIME_SHARE = 0.25
+# Time after a restart in which a node learns of the fleet, and the time after
+# which one that has found no other node takes itself for the fleet.
+_RESTART_S = 1.5
+_LONE_START_S = 5.0
 
 
 class AllotmentTolerance:
@@ -167,6 +171,7 @@
     __slots__ = (
         "_buckets",
         "_clock",
+        "_is_ready",
         "_last_run_s",
         "_limits",
         "_scale",
@@ -178,6 +183,7 @@
         clock: Clock,
         scale: Callable[[], float],
         tolerance: AllotmentTolerance | None = None,
+        is_ready: Callable[[], bool] = lambda: True,
     ) -> None:
         """Starts without allotments.
 
@@ -187,7 +193,11 @@
                 grant, above 0 and at most 1.
             tolerance: By how much allotments may be exceeded; None for not at
                 all.
+            is_ready: Returns whether this node knows enough of the fleet to own
+                allotments. Many nodes that restart together would otherwise
+                each take themselves for the owner.
         """
+        self._is_ready = is_ready
         self._tolerance = tolerance or AllotmentTolerance()
         self._clock = clock
         self._scale = scale
@@ -225,12 +235,12 @@
             requested: Number of tokens asked for.
 
         Returns:
-            The grant, or None if the organisation has no allotment in the
-            configuration of this node.
+            The grant, or None if this node grants nothing: it is not ready, or
+            the organisation has no allotment in its configuration.
         """
         self.tick()
         organisation = self._limits.get(name)
-        if organisation is None:
+        if organisation is None or not self._is_ready():
             return None
         now_s = self._clock.monotonic()
         bucket = self._buckets.get(name)
@@ -267,6 +277,25 @@
     return 1.0 if 2 * seen > size else seen / size
 
 
+def is_ready_to_own(seen: int, age_s: float, *, is_first_start: bool) -> bool:
+    """Returns whether a node knows enough of the fleet to own allotments.
+
+    >>> is_ready_to_own(1, 0.0, is_first_start=True)
+    True
+    >>> is_ready_to_own(40, 1.0, is_first_start=False)
+    False
+
+    Args:
+        seen: Nodes that it sees, itself included.
+        age_s: Seconds since its start.
+        is_first_start: Whether no earlier process of any node has run, so that
+            nothing has been granted.
+    """
+    if is_first_start or age_s >= _LONE_START_S:
+        return True
+    return age_s >= _RESTART_S and seen > 1
+
+
 def tokens_to_request(waiting: int, demand_per_s: float) -> int:
     """Returns how many tokens a node asks for at once.
 
