Wire comment: accepts_compression is sent with the proof; test of its end

Cause: the comment did not say in which frame the field is sent; alone it ends the connection to a node of an earlier version.

--- a/packages/protocol/radishtray_protocol/_gen/ttypes.py
+++ b/packages/protocol/radishtray_protocol/_gen/ttypes.py
@@ -2917,7 +2917,8 @@
      - freshness_reply
      - allotment_request
      - allotment_grant
-     - accepts_compression: Whether the sender reads compressed frames on this connection.
+     - accepts_compression: Whether the sender reads compressed frames on this connection. Sent with
+    the proof: alone, it would end a connection to an earlier version.
      - compressed: Part of the compressed stream of frames of this connection.
 
     """
--- a/packages/protocol/radishtray_protocol/tests/test_frames.py
+++ b/packages/protocol/radishtray_protocol/tests/test_frames.py
@@ -109,6 +109,10 @@
         prefixed(b"\x0b\x00\x16\x00\x00\x00\x09abc\x00"),
         "malformed",
     ),
+    "compressed_without_end": (
+        prefixed(b"\x0b\x00\x16\x00\x00\x00\x03abc\x01"),
+        "malformed",
+    ),
     "compressed_without_length": (prefixed(b"\x0b\x00\x16"), "malformed"),
     "two_messages": (
         encode_frame(
--- a/packages/protocol/radishtray_protocol/wire.thrift
+++ b/packages/protocol/radishtray_protocol/wire.thrift
@@ -234,7 +234,8 @@
   18: optional FreshnessReply freshness_reply
   19: optional AllotmentRequest allotment_request
   20: optional AllotmentGrant allotment_grant
-  /** Whether the sender reads compressed frames on this connection. */
+  /** Whether the sender reads compressed frames on this connection. Sent with
+   *  the proof: alone, it would end a connection to an earlier version. */
   21: optional bool accepts_compression
   /** Part of the compressed stream of frames of this connection. */
   22: optional binary compressed
