--- a/packages/overload/radishtray_overload/__init__.py
+++ b/packages/overload/radishtray_overload/__init__.py
@@ -11,6 +11,7 @@
     EntryOrder,
     ReturnDetector,
 )
+from radishtray_overload._return_schedule import ReturnSchedule
 from radishtray_overload._route_costs import (
     MAX_SERVICES,
     RouteCost,
@@ -28,6 +29,7 @@
     "EntryOrder",
     "LearnedCapacity",
     "ReturnDetector",
+    "ReturnSchedule",
     "RouteCost",
     "RouteCosts",
     "ServiceUse",
