--- a/packages/ctl/radishtray_ctl/main.py
+++ b/packages/ctl/radishtray_ctl/main.py
@@ -10,12 +10,20 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import react
 
-from radishtray_ctl import _config_commands, _operator_commands
+from radishtray_ctl import (
+    _config_commands,
+    _operator_commands,
+    _organisation_commands,
+)
 from radishtray_ctl._arguments import build_parser, resolve_settings
 from radishtray_ctl._errors import CommandError, ExitCode
 from radishtray_ctl._report import Report, print_error, print_report
 
-_COMMAND_MODULES = (_config_commands, _operator_commands)
+_COMMAND_MODULES = (
+    _config_commands,
+    _operator_commands,
+    _organisation_commands,
+)
 """Modules whose import registers their commands."""
 
 
