Entry wait: requests wait for a short peak to pass

Cause: in peaks of a few seconds requests are shed although a slot would be free soon. Change: with the feature entry_wait, a first request that would be shed waits at its entry node, at most 0.5 s and a fifth of its time, for the known thresholds to admit its rank. Result: tests of the queue and of the wiring pass. Effect under load not measured.

--- a/packages/node/radishtray_node/_entry_decisions.py
+++ b/packages/node/radishtray_node/_entry_decisions.py
@@ -7,10 +7,12 @@
 from collections.abc import Collection
 
 from radishtray_node._call_result import CallResult
+from radishtray_node._entry_queue import EntryQueue
 from radishtray_node._entry_report import EntryReport
 from radishtray_node._features import Feature
 from radishtray_node._metrics import Metrics
 from radishtray_node._service_uses import add_call_uses
+from radishtray_node._timers import TimerWheel
 from radishtray_overload import (
     EntryOrder,
     ReturnDetector,
@@ -49,6 +51,7 @@
         order: Draws levels; None if the feature is off.
         schedule: Chooses Retry-After; None if the feature is off.
         report: Counts what is decided.
+        queue: Requests that wait; None if the feature is off.
     """
 
     __slots__ = (
@@ -57,6 +60,7 @@
         "_routes",
         "costs",
         "order",
+        "queue",
         "report",
         "schedule",
     )
@@ -67,6 +71,7 @@
         rng: random.Random,
         features: Collection[Feature],
         metrics: Metrics,
+        timers: TimerWheel,
     ) -> None:
         """Starts without knowledge.
 
@@ -75,7 +80,13 @@
             rng: Source of levels and jitter.
             features: Decisions that are switched on.
             metrics: Metrics of this node.
+            timers: Timers of waiting requests.
         """
+        self.queue = (
+            EntryQueue(clock, timers, metrics)
+            if Feature.ENTRY_WAIT in features
+            else None
+        )
         self._rng = rng
         self._routes: dict[str, Route] = {}
         self._returns = ReturnDetector(clock)
@@ -96,7 +107,7 @@
         )
         self.report = (
             EntryReport(clock, metrics, self.costs)
-            if self.order is not None or self.schedule is not None
+            if self.order or self.schedule or self.queue
             else None
         )
 
@@ -114,6 +125,8 @@
                     self.order.forget(name)
                 if self.schedule is not None:
                     self.schedule.forget(name)
+                if self.queue is not None:
+                    self.queue.wait.forget(name)
         self._routes = routes
 
     def draw_level(
@@ -168,6 +181,11 @@
         if self.report is not None:
             self.report.count(route.name, refusal)
 
+    def record_latency(self, route: Route, latency_s: float) -> None:
+        """Records the time from the sending of a request to its answer."""
+        if self.queue is not None:
+            self.queue.wait.record_latency(route.name, latency_s)
+
     def retry_after_s(
         self,
         route: Route | None,
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -240,7 +240,11 @@
                 organisation, refusal.value if refusal else "answered"
             ),
             EntryDecisions(
-                self.clock, self._rng, settings.features, self.metrics
+                self.clock,
+                self._rng,
+                settings.features,
+                self.metrics,
+                self._timers,
             ),
         )
         self._node_server = NodeServer(
--- a/packages/node/radishtray_node/_routed_call.py
+++ b/packages/node/radishtray_node/_routed_call.py
@@ -11,6 +11,7 @@
 from radishtray_node._organisation_gate import ANONYMOUS, CallerIdentity
 from radishtray_node._sent_attempt import SendFailure, SentAttempt
 from radishtray_node._timers import Timer
+from radishtray_overload import WaitingRequest
 from radishtray_protocol import Route, wire
 from radishtray_state import LEVELS_PER_CLASS, RefusalReason
 from radishtray_transport import find_header
@@ -140,6 +141,7 @@
         "_excluded_nodes",
         "_is_done",
         "_may_have_run",
+        "_may_wait",
         "_node_id",
         "_on_result",
         "_refusals",
@@ -148,6 +150,7 @@
         "_server_error_answer",
         "_upstream_arrivals",
         "_version",
+        "_waiting",
         "deadline_s",
         "route",
         "service",
@@ -193,6 +196,8 @@
         self._may_have_run = False
         self._server_error_answer: CallResult | None = None
         self._is_done = False
+        self._may_wait = not request.has_parent
+        self._waiting: WaitingRequest | None = None
 
     @property
     def rank(self) -> int:
@@ -218,11 +223,44 @@
         if self._request.is_repeat:
             entry.arrival_budget.count_inherited_repeat(self.service)
         if entry.should_shed(self.route, self._request, self.rank):
-            entry.router.metrics.count_refusal(RefusalReason.SHED)
-            self._finish_refused(RefusalReason.SHED)
+            self._wait_or_refuse()
             return
         self._choose_and_send()
 
+    def _wait_or_refuse(self) -> None:
+        """Has a first request wait for the thresholds to fall, or sheds it.
+
+        A request waits once at most, before its first attempt.
+        """
+        queue = self._entry.decisions.queue
+        if queue is not None and self._may_wait:
+            self._may_wait = False
+            self._waiting = queue.offer(
+                self.route.name,
+                self.rank,
+                len(self._request.body),
+                self.deadline_s,
+                self.route.target_latency_s,
+                self._is_admitted,
+                self._choose_and_send,
+                self._shed,
+            )
+            if self._waiting is not None:
+                return
+        self._shed()
+
+    def _is_admitted(self) -> bool:
+        """Returns whether the known thresholds admit the request."""
+        chains = self._entry.chains
+        selector = self._entry.router.selector
+        return self.rank >= chains.received_chain_threshold(
+            self.route.name
+        ) and selector.may_admit(self.service, self.rank)
+
+    def _shed(self) -> None:
+        self._entry.router.metrics.count_refusal(RefusalReason.SHED)
+        self._finish_refused(RefusalReason.SHED)
+
     def _choose_and_send(self, preferred: str | None = None) -> None:
         """Sends an attempt, to the preferred node if there is one."""
         router = self._entry.router
@@ -239,11 +277,15 @@
             self._finish_refused(refusal)
             return
         chosen = preferred or self._choose_node()
+        if chosen is RefusalReason.SHED and not self._excluded_nodes:
+            self._wait_or_refuse()
+            return
         if isinstance(chosen, RefusalReason):
             router.metrics.count_refusal(chosen)
             self._finish_refused(chosen)
             return
         self._node_id = chosen
+        self._may_wait = False
         self._attempt_sent_s = router.clock.monotonic()
         attempt = SentAttempt(
             self._build_call(is_blocked), self._on_answer, self._on_failure
@@ -328,6 +370,10 @@
             is_rejected=reason is RefusalReason.UPSTREAM_BUSY,
         )
         if reason is None:
+            if not result.is_server_error and not self._request.has_parent:
+                self._entry.decisions.record_latency(
+                    self.route, router.clock.monotonic() - self._attempt_sent_s
+                )
             if (
                 result.is_server_error
                 # The node beside the upstream has repeated the failed call as
@@ -505,6 +551,10 @@
 
     def _mark_done(self) -> None:
         self._is_done = True
+        queue = self._entry.decisions.queue
+        if queue is not None and self._waiting is not None:
+            queue.wait.withdraw(self._waiting)
+            self._waiting = None
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
 
--- a/packages/node/radishtray_node/tests/test_scarce_services.py
+++ b/packages/node/radishtray_node/tests/test_scarce_services.py
@@ -154,3 +154,56 @@
     for _ in range(20):
         assert 0.3 <= retry_after_s(fleet, 5000) <= 5 / 3
         assert 0.1 <= retry_after_s(fleet, 600) <= 0.2
+
+
+def build_waiting_fleet() -> GatewayFleet:
+    """Builds a fleet whose entry node knows the usual latency of its routes."""
+    fleet = build_tree(Feature.ENTRY_WAIT, target_latency_s=2.0)
+    load(fleet, 8)
+    return fleet
+
+
+def test_a_request_waits_for_the_threshold_to_fall() -> None:
+    fleet = build_waiting_fleet()
+    entry = fleet.gateways["e"].entry
+    entry.chains.record_thresholds("tree", 0, 500)
+    runs = len(fleet.upstreams["n0"].runs)
+    result = fleet.send("e", "/tree/", "r1", deadline_ms=5000)
+    fleet.run(0.2)
+    assert (result.status, len(entry.decisions.queue.wait)) == (0, 1)
+    assert len(fleet.upstreams["n0"].runs) == runs
+    entry.chains.record_thresholds("tree", 0, 0)
+    fleet.run(1)
+    assert (result.status, len(entry.decisions.queue.wait)) == (200, 0)
+
+
+def test_a_request_that_waited_in_vain_has_not_run() -> None:
+    fleet = build_waiting_fleet()
+    entry = fleet.gateways["e"].entry
+    entry.chains.record_thresholds("tree", 0, 500)
+    runs = len(fleet.upstreams["n0"].runs)
+    result = fleet.send("e", "/tree/", "r1", deadline_ms=5000)
+    fleet.run(0.6)
+    assert (result.status, len(entry.decisions.queue.wait)) == (503, 0)
+    assert result.answer is not None
+    assert "Retry-After" in result.answer.headers
+    fleet.run(2)
+    assert len(fleet.upstreams["n0"].runs) == runs
+    assert entry.active == 0
+
+
+def test_a_waiting_request_whose_caller_leaves_is_dropped() -> None:
+    """Guards against requests that run without a caller after they waited."""
+    fleet = build_waiting_fleet()
+    entry = fleet.gateways["e"].entry
+    entry.chains.record_thresholds("tree", 0, 500)
+    runs = len(fleet.upstreams["n0"].runs)
+    result = fleet.send("e", "/tree/", "r1", deadline_ms=5000)
+    fleet.run(0.1)
+    assert result.pending is not None
+    result.pending.cancel()
+    fleet.run(0.1)
+    assert (len(entry.decisions.queue.wait), entry.active) == (0, 0)
+    entry.chains.record_thresholds("tree", 0, 0)
+    fleet.run(1)
+    assert len(fleet.upstreams["n0"].runs) == runs
--- a/packages/overload/radishtray_overload/__init__.py
+++ b/packages/overload/radishtray_overload/__init__.py
@@ -10,6 +10,7 @@
     EntryOrder,
     ReturnDetector,
 )
+from radishtray_overload._entry_wait import EntryWait, WaitingRequest
 from radishtray_overload._return_schedule import ReturnSchedule
 from radishtray_overload._route_costs import (
     MAX_SERVICES,
@@ -26,12 +27,14 @@
     "MIN_RETRY_AFTER_S",
     "RETRY_AFTER_MAX_SHARE",
     "EntryOrder",
+    "EntryWait",
     "ReturnDetector",
     "ReturnSchedule",
     "RouteCost",
     "RouteCosts",
     "ServiceUse",
     "SlotFill",
+    "WaitingRequest",
     "add_uses",
     "run_uses",
 ]
--- a/packages/overload/radishtray_overload/_return_schedule.py
+++ b/packages/overload/radishtray_overload/_return_schedule.py
@@ -33,6 +33,9 @@
 _MIN_SLOPE = 0.05
 _PEAK_SHARE = 0.1
 _PEAK_GAIN = 0.3
+# Time by which the end of a peak is seen later than its start, since the recent
+# share contains buckets from before.
+_PEAK_LAG_S = 0.4
 # While a peak lasts longer than the earlier ones, it is expected to go on for
 # this part of its duration.
 _OVERTIME_SHARE = 0.25
@@ -101,6 +104,7 @@
             self._peak_seen_s = now_s
         elif self._peak_started_s != inf:
             duration_s = self._peak_seen_s - self._peak_started_s
+            duration_s = max(duration_s - _PEAK_LAG_S, _BUCKET_S)
             self._peak_started_s = inf
             gain = _PEAK_GAIN if self._mean_peak_s else 1.0
             self._mean_peak_s += gain * (duration_s - self._mean_peak_s)
--- a/packages/state/radishtray_state/_selection.py
+++ b/packages/state/radishtray_state/_selection.py
@@ -402,17 +402,26 @@
         without success. For a small share of the requests the result is False,
         so that they probe the thresholds, as in `choose`.
 
+        Args:
+            service: Service that will be called.
+            rank: Priority, class * 128 + level.
+        """
+        if self.may_admit(service, rank):
+            return False
+        return self.rng.random() >= _PROBE_SHARE
+
+    def may_admit(self, service: str, rank: int) -> bool:
+        """Returns whether a candidate is not known to refuse the rank.
+
         Args:
             service: Service that will be called.
             rank: Priority, class * 128 + level.
         """
         service_peers = self._service_peers.get(service)
         if service_peers is None or not service_peers.peers:
-            return False
+            return True
         now = self._clock.monotonic()
-        if any(peer.threshold(now) <= rank for peer in service_peers.peers):
-            return False
-        return self.rng.random() >= _PROBE_SHARE
+        return any(peer.threshold(now) <= rank for peer in service_peers.peers)
 
     def record_sent(self, node_id: str) -> None:
         """Records that an attempt was sent.
