--- a/packages/overload/radishtray_overload/__init__.py
+++ b/packages/overload/radishtray_overload/__init__.py
@@ -11,6 +11,7 @@
     EntryOrder,
     ReturnDetector,
 )
+from radishtray_overload._entry_wait import EntryWait, WaitingRequest
 from radishtray_overload._return_schedule import ReturnSchedule
 from radishtray_overload._route_costs import (
     MAX_SERVICES,
@@ -27,6 +28,7 @@
     "MIN_RETRY_AFTER_S",
     "RETRY_AFTER_MAX_SHARE",
     "EntryOrder",
+    "EntryWait",
     "LearnedCapacity",
     "ReturnDetector",
     "ReturnSchedule",
@@ -34,6 +36,7 @@
     "RouteCosts",
     "ServiceUse",
     "SlotFill",
+    "WaitingRequest",
     "add_uses",
     "run_uses",
 ]
