Check of routes and organisations before they are sent

Cause: faults of a configuration of routes and organisations came to light only when nodes rejected it, one at a time, and entries without effect not at all. Change: check_routes reports all errors together, entries that never match or have no effect and limits that contradict each other; compare_routes reports the differences from the version in force, keys only by number.

--- a/packages/protocol/radishtray_protocol/__init__.py
+++ b/packages/protocol/radishtray_protocol/__init__.py
@@ -58,6 +58,13 @@
     next_release,
     section_object_name,
 )
+from radishtray_protocol._route_check import check_routes
+from radishtray_protocol._route_differences import compare_routes
+from radishtray_protocol._route_draft import (
+    RouteDraft,
+    RouteFinding,
+    Severity,
+)
 from radishtray_protocol._routes import (
     HIGHEST_PRIORITY_CLASS,
     CallerLimits,
@@ -109,11 +116,16 @@
     "ReleaseError",
     "RequestKind",
     "Route",
+    "RouteDraft",
+    "RouteFinding",
     "RouteSplit",
     "RouteTable",
     "ServiceSection",
+    "Severity",
     "SlotCodecError",
+    "check_routes",
     "combine_sources",
+    "compare_routes",
     "decode_lease",
     "decode_release",
     "decode_routes",
