--- a/packages/node/radishtray_node/_entry_decisions.py
+++ b/packages/node/radishtray_node/_entry_decisions.py
@@ -129,15 +129,6 @@
                     self.queue.wait.forget(name)
         self._routes = routes
 
-    def is_return(self, route: Route, budget_s: float) -> bool:
-        """Returns whether a request comes again after a refusal.
-
-        Args:
-            route: Route of the request.
-            budget_s: Time that the request states to have left, in seconds.
-        """
-        return self._returns.is_return(route.name, budget_s)
-
     def draw_level(
         self, route: Route, service: str, priority_class: int, budget_s: float
     ) -> int:
--- a/packages/node/radishtray_node/_organisation_gate.py
+++ b/packages/node/radishtray_node/_organisation_gate.py
@@ -134,16 +134,10 @@
         return self._keys.holds(key_digest)
 
     def acquire(
-        self,
-        identity: CallerIdentity,
-        on_verdict: TokenCallback,
-        *,
-        is_return: bool,
+        self, identity: CallerIdentity, on_verdict: TokenCallback
     ) -> TokenWait | None:
         """Takes a token for a request; see `AllotmentLeases.acquire`."""
-        return self._leases.acquire(
-            identity.organisation, on_verdict, is_return=is_return
-        )
+        return self._leases.acquire(identity.organisation, on_verdict)
 
     def release(self, identity: CallerIdentity, verdict: TokenVerdict) -> None:
         """Returns the token of a request that has not run."""
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -144,11 +144,7 @@
             self._parent.begin_call(self._entry.router.clock.monotonic())
         if self._identity.is_limited:
             self._token_wait = self._entry.gate.acquire(
-                self._identity,
-                self._on_token,
-                is_return=self._entry.decisions.is_return(
-                    self._route, self._caller_timeout_s
-                ),
+                self._identity, self._on_token
             )
         else:
             call.start()
--- a/packages/organisations/radishtray_organisations/_allotment_leases.py
+++ b/packages/organisations/radishtray_organisations/_allotment_leases.py
@@ -22,8 +22,6 @@
 _LOW_WATER_LIFETIME_SHARE = 0.1
 # With less demand, tokens are requested only when a request needs one.
 _MIN_LOW_WATER = 1
-# Time after a denial in which an organisation counts as short of tokens.
-_SHORTAGE_MEMORY_S = 1.0
 _MAX_WAITING = 256
 _MAX_ORGANISATIONS = 10_000
 # Retry-After if no owner answered.
@@ -103,7 +101,6 @@
         "_denied_until_s",
         "_expires_at_s",
         "_regular",
-        "_short_until_s",
         "_tokens",
         "requested",
         "waiting",
@@ -117,7 +114,6 @@
         self._regular = 0
         self._expires_at_s = 0.0
         self._denied_until_s = 0.0
-        self._short_until_s = 0.0
         self._demand_per_s = 0.0
         self._demand_updated_s = now_s
 
@@ -148,8 +144,6 @@
             self._regular += is_regular
 
     def add(self, grant: Grant, expires_at_s: float, now_s: float) -> None:
-        if grant.requests < self.requested:
-            self._short_until_s = now_s + _SHORTAGE_MEMORY_S
         if not grant.requests:
             self._denied_until_s = now_s + grant.retry_s
             return
@@ -165,10 +159,6 @@
         self._regular += min(grant.regular, grant.requests)
         self._expires_at_s = expires_at_s
 
-    def is_short(self, now_s: float) -> bool:
-        """Returns whether the owner has recently denied tokens."""
-        return now_s < self._short_until_s
-
     def denied_s(self, now_s: float) -> float:
         """Returns for how long the owner is known to grant nothing."""
         return self._denied_until_s - now_s
@@ -221,31 +211,19 @@
         """Organisations with demand on this node."""
         return len(self._leases)
 
-    def acquire(
-        self, name: str, on_verdict: TokenCallback, *, is_return: bool = False
-    ) -> TokenWait | None:
+    def acquire(self, name: str, on_verdict: TokenCallback) -> TokenWait | None:
         """Gets a token for one request.
 
-        While an organisation is short of tokens, requests that come again get
-        none: they have used up a part of their time, so the tokens serve more
-        callers in time if first tries get them.
-
         Args:
             name: Name of the organisation.
             on_verdict: Called once with the verdict; before this method returns
                 if the verdict is known.
-            is_return: Whether the request comes again after a refusal.
 
         Returns:
             The wait, or None if `on_verdict` has been called.
         """
         now_s = self._clock.monotonic()
         lease = self._lease(name, now_s)
-        if is_return and lease.is_short(now_s):
-            on_verdict(
-                TokenVerdict(is_granted=False, retry_s=_SHORTAGE_MEMORY_S)
-            )
-            return None
         lease.count_demand(now_s)
         verdict = None if lease.waiting else lease.take(now_s)
         if verdict is not None:
@@ -286,8 +264,8 @@
         now_s = self._clock.monotonic()
         lease = self._lease(name, now_s)
         is_all_granted = grant.requests >= lease.requested
-        lease.add(grant, asked_at_s + TOKEN_LIFETIME_S, now_s)
         lease.requested = 0
+        lease.add(grant, asked_at_s + TOKEN_LIFETIME_S, now_s)
         self._serve_waiting(lease, now_s)
         if is_all_granted:
             self._request_more(name, lease, now_s)
