--- a/packages/overload/radishtray_overload/tests/builders.py
+++ b/packages/overload/radishtray_overload/tests/builders.py
@@ -14,10 +14,12 @@
 
 from radishtray_overload import (
     EntryOrder,
+    EntryWait,
     ReturnDetector,
     ReturnSchedule,
     RouteCosts,
     SlotFill,
+    WaitingRequest,
     add_uses,
     run_uses,
 )
@@ -42,6 +44,7 @@
 _DEADLINE_S = 1.0
 _PROBE_SHARE = 0.01
 _SAMPLE_S = 0.05
+_POLL_S = 0.025
 _BIN_S = 0.25
 _CLASS = 1
 BUDGET_S = {"tree": 5.0, "direct": 1.2}
@@ -74,6 +77,7 @@
         self.costs = RouteCosts(clock)
         self.order = EntryOrder(clock, rng, self.costs, ReturnDetector(clock))
         self.schedule = ReturnSchedule(clock, rng, 0.5)
+        self.wait = EntryWait(clock)
         self.age_s = rng.uniform(_MIN_KNOWLEDGE_AGE_S, _MAX_KNOWLEDGE_AGE_S)
 
 
@@ -99,6 +103,7 @@
         is_ordered: bool,
         has_returns: bool = False,
         is_scheduled: bool = False,
+        has_waits: bool = False,
     ) -> None:
         """Creates the entry nodes without knowledge.
 
@@ -110,7 +115,9 @@
                 once after its Retry-After.
             is_scheduled: Whether Retry-After follows the schedule; otherwise it
                 is random.
+            has_waits: Whether requests wait at the entry instead of being shed.
         """
+        self._has_waits = has_waits
         self._has_returns = has_returns
         self._is_scheduled = is_scheduled
         self._clock = ManualClock()
@@ -244,15 +251,67 @@
             rank < self._known_threshold(entry)
             and self._rng.random() >= _PROBE_SHARE
         ):
-            entry.schedule.record(route, is_shed=True)
-            if is_return:
-                self.refused_twice[route] += 1
-            elif self._has_returns:
-                self._return_later(entry, route, first_s, left_s)
+            if not self._offer(entry, route, rank, first_s, is_return):
+                self._refuse(entry, route, first_s, is_return)
             return
+        self._admit(entry, route, rank, now_s + _DEADLINE_S, first_s)
+
+    def _admit(
+        self,
+        entry: _Entry,
+        route: str,
+        rank: int,
+        deadline: float,
+        first_s: float,
+    ) -> None:
         self.admitted[int(self._clock.monotonic() / _BIN_S)] += 1
+        level = rank % LEVELS_PER_CLASS
         parent = ParentRequest(route, _CLASS, level, False)
-        self._call(entry, route, parent, now_s + _DEADLINE_S, first_s)
+        self._call(entry, route, parent, deadline, first_s)
+
+    def _refuse(
+        self, entry: _Entry, route: str, first_s: float, is_return: bool
+    ) -> None:
+        entry.schedule.record(route, is_shed=True)
+        left_s = BUDGET_S[route] - (self._clock.monotonic() - first_s)
+        if is_return:
+            self.refused_twice[route] += 1
+        elif self._has_returns:
+            self._return_later(entry, route, first_s, left_s)
+
+    def _offer(
+        self,
+        entry: _Entry,
+        route: str,
+        rank: int,
+        first_s: float,
+        is_return: bool,
+    ) -> bool:
+        """Has a request wait at its entry node; returns whether it does."""
+        if not self._has_waits:
+            return False
+        deadline = self._clock.monotonic() + _DEADLINE_S
+        is_idle = not len(entry.wait)
+        waits = entry.wait.offer(
+            WaitingRequest(
+                route,
+                rank,
+                0,
+                deadline,
+                first_s + TARGET_S[route],
+                lambda: rank >= self._known_threshold(entry),
+                lambda: self._admit(entry, route, rank, deadline, first_s),
+                lambda: self._refuse(entry, route, first_s, is_return),
+            )
+        )
+        if waits and is_idle:
+            self._later(_POLL_S, lambda: self._poll(entry))
+        return waits
+
+    def _poll(self, entry: _Entry) -> None:
+        entry.wait.poll()
+        if len(entry.wait):
+            self._later(_POLL_S, lambda: self._poll(entry))
 
     def _return_later(
         self, entry: _Entry, route: str, first_s: float, left_s: float
@@ -301,6 +360,8 @@
             is_late = latency_s > TARGET_S[route]
             self.value += _LATE_VALUE if is_late else 1.0
             entry.schedule.record(route, is_shed=False, latency_s=latency_s)
+            sent_s = deadline - _DEADLINE_S
+            entry.wait.record_latency(route, self._clock.monotonic() - sent_s)
             uses = run_uses(totals, "middle", 0.3, 5)
             self._later(entry.age_s, lambda: entry.costs.record(route, uses))
 
