--- a/packages/node/radishtray_node/_decision_log.py
+++ b/packages/node/radishtray_node/_decision_log.py
@@ -57,6 +57,7 @@
         reason: RefusalReason,
         elapsed_s: float,
         version: int,
+        organisation: str = "",
     ) -> None:
         """Logs that a request ended without an answer from an upstream.
 
@@ -66,14 +67,20 @@
             reason: Reason that the caller got.
             elapsed_s: Time from the request's arrival to its end, in seconds.
             version: Version of the route table that was used.
+            organisation: Organisation of the request; empty for none.
         """
+        fields: dict[str, object] = {
+            "request": request_id.decode("latin-1"),
+            "route": route,
+            "reason": reason.value,
+            "held_ms": round(elapsed_s * 1000),
+            "version": version,
+        }
+        if organisation:
+            fields["organisation"] = organisation
         self._write(
             "request_refused" if reason.is_not_run else "request_failed",
-            request=request_id.decode("latin-1"),
-            route=route,
-            reason=reason.value,
-            held_ms=round(elapsed_s * 1000),
-            version=version,
+            **fields,
         )
 
     def log_mismatched_answer(
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -209,6 +209,7 @@
             result.refusal,
             held_s,
             entry.version,
+            self._identity.organisation,
         )
         entry.refuse(
             self._http,
