Entry decisions: Retry-After of allotments apart from that of capacity

Cause: with return_schedule, the time of a missing grant would have replaced the usual delay of allotment_unknown. Change: both are passed apart.

--- a/packages/node/radishtray_node/_entry_decisions.py
+++ b/packages/node/radishtray_node/_entry_decisions.py
@@ -188,7 +188,7 @@
 
     def retry_after_s(
         self,
-        route: Route | None,
+        route: Route,
         reason: RefusalReason,
         budget_s: float,
         left_s: float,
@@ -196,16 +196,12 @@
         """Returns the Retry-After of a refusal; None for the usual one.
 
         Args:
-            route: Route of the request; None if it has none.
+            route: Route of the request.
             reason: Why the request was refused.
             budget_s: Time that the request stated to have left.
             left_s: What is left of it, in seconds.
         """
-        if (
-            self.schedule is None
-            or route is None
-            or reason not in _CAPACITY_REASONS
-        ):
+        if self.schedule is None or reason not in _CAPACITY_REASONS:
             return None
         held_s = max(0.0, budget_s - left_s)
         return self.schedule.retry_after_s(
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -211,14 +211,13 @@
             self._http,
             result.refusal,
             self._caller_timeout_s - held_s,
+            retry_s,
             entry.decisions.retry_after_s(
                 self._route,
                 result.refusal,
                 self._caller_timeout_s,
                 self._caller_timeout_s - held_s,
-            )
-            if retry_s is None
-            else retry_s,
+            ),
         )
 
     def _end_call(self, *, has_failed: bool) -> None:
@@ -565,6 +564,7 @@
         reason: RefusalReason,
         left_s: float,
         retry_s: float | None = None,
+        scheduled_s: float | None = None,
     ) -> None:
         """Answers a request with a refusal.
 
@@ -575,7 +575,9 @@
             http: The request.
             reason: Why no upstream answered it.
             left_s: Seconds that the caller still waits for an answer.
-            retry_s: Seconds after which the request may come again; None for a
+            retry_s: Seconds after which an allotment is granted again; None if
+                it is not the reason.
+            scheduled_s: Seconds after which capacity is expected; None for a
                 random delay.
         """
         if not reason.is_not_run:
@@ -590,8 +592,8 @@
             # The jitter keeps the requests of an organisation from coming
             # again together for the same few tokens.
             retry_after_s = retry_s + self._rng.random() * _MAX_RETRY_AFTER_S
-        elif retry_s is not None and self.decisions.schedule is not None:
-            retry_after_s = retry_s
+        elif scheduled_s is not None:
+            retry_after_s = scheduled_s
         else:
             retry_after_s = min(
                 self._rng.uniform(_MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S),
