Learned capacity: comparisons that chance does not decide; tests

Cause: with service times that rise gradually above a knee the limit crept up to all slots: each further run was a new comparison, common slowness leaked into the costs of kinds, and small steps show little. Rejected raises cost much where runs are long. Change: windows continue for twice as many runs, not run by run; the mean cost of all kinds is constant; steps are halved after a loss; trials with an evident loss end early; the time between rejected raises grows with the service time. Tests with a model of one upstream, and of four with the product's selection.

--- a/packages/overload/radishtray_overload/_capacity.py
+++ b/packages/overload/radishtray_overload/_capacity.py
@@ -22,9 +22,12 @@
 # this time without interruption. Step-like noise lasts 0.6 s.
 _SUSPECTED_GAIN = 1.1
 _SUSPICION_S = 0.7
-# A trial of a lower limit must show at least this gain, plus one standard
-# error, both against the window before and against the one after it.
+# A trial of a lower limit must show at least this gain, both against the window
+# before and against the one after it.
 _REQUIRED_GAIN = 1.05
+# A difference is certain from this number of standard errors on; otherwise the
+# window continues until it is precise.
+_DECISIVE_ERRORS = 1.5
 # A lower limit is at most this share of the present one: smaller differences
 # are not measurable within one window.
 _MAX_LOWERED_SHARE = 0.85
@@ -36,18 +39,34 @@
 _EXPLORED_SHARES = (0.6, 0.4, 0.75)
 _FIRST_EXPLORATION_S = 1.0
 _MAX_EXPLORATION_S = 30.0
-# A raise is kept unless it shows less throughput by this many standard errors.
-_LOSS_ERRORS = 0.5
+# Weight of earlier windows in what a trial is compared with.
+_EARLIER_WEIGHT = 0.7
+# Steps of raises, as shares of the slots. Large steps show a loss or a gain
+# more clearly, so a rejected step is halved. After the smallest one the first
+# step is tried again, at longer intervals.
+_FIRST_STEP_SHARE = 0.1
 _MAX_STEP_SHARE = 0.25
-# It must also show this share of the throughput known at the present limit,
+# A raise must show this share of the throughput known at the present limit,
 # which follows a lower one with this time constant.
-_REFERENCE_SHARE = 0.8
-_REFERENCE_TIME_CONSTANT_S = 2.0
-# A raise ends early with this throughput, by this many standard errors.
+_REFERENCE_SHARE = 0.9
+_REFERENCE_TIME_CONSTANT_S = 5.0
+_REFERENCE_GAIN_WEIGHT = 0.2
+# A trial shows that the upstream has become slower at all concurrencies if its
+# speed is below the expected one by this many standard errors.
+_SLOWER_ERRORS = 2.0
+# A trial ends early with this throughput, by this many standard errors.
 _EARLY_LOSS = 0.85
 _EARLY_ERRORS = 2.0
-# Intervals between trials; they double after each trial without result.
+# Intervals between trials; they grow by this factor after each trial without
+# result. A rejected raise costs throughput, also while it is measured.
+_INTERVAL_FACTOR = 2.0
+_RAISE_INTERVAL_FACTOR = 4.0
+_EXPLORATION_INTERVAL_FACTOR = 4.0
+# Shortest interval between rejected raises, in mean service times of the raise.
+# One costs about 1.2 of them: it is noticed late, and its slow runs must end.
+_RAISE_SERVICE_TIMES = 30.0
 _FIRST_INTERVAL_S = 0.25
+_FIRST_RAISE_S = 0.1
 _MAX_RAISE_INTERVAL_S = 4.0
 _MAX_LOWER_INTERVAL_S = 8.0
 
@@ -66,12 +85,18 @@
     """A trial of a higher limit."""
 
 
+_EARLY_PHASES = frozenset((_Phase.LOWERED, _Phase.RAISED))
+
+
 class _Interval:
-    """Time between trials, doubled after each trial without result."""
+    """Time between trials, which grows after each trial without result."""
 
-    __slots__ = ("_first_s", "_interval_s", "_max_s", "_next_s")
+    __slots__ = ("_factor", "_first_s", "_interval_s", "_max_s", "_next_s")
 
-    def __init__(self, first_s: float, max_s: float) -> None:
+    def __init__(
+        self, first_s: float, max_s: float, factor: float = _INTERVAL_FACTOR
+    ) -> None:
+        self._factor = factor
         self._first_s = first_s
         self._max_s = max_s
         self._interval_s = first_s
@@ -84,9 +109,15 @@
         self._interval_s = self._first_s
         self._next_s = now_s + self._interval_s
 
-    def back_off(self, now_s: float) -> None:
+    def repeat(self, now_s: float) -> None:
+        self._next_s = now_s + self._interval_s
+
+    def back_off(self, now_s: float, shortest_s: float = 0.0) -> None:
+        self._interval_s = max(self._interval_s, shortest_s)
         self._next_s = now_s + self._interval_s
-        self._interval_s = min(2 * self._interval_s, self._max_s)
+        self._interval_s = max(
+            min(self._factor * self._interval_s, self._max_s), shortest_s
+        )
 
 
 class LearnedCapacity:
@@ -150,12 +181,22 @@
         self._trial: WindowResult | None = None
         self._reference = 0.0
         self._reference_s = 0.0
-        self._step = 1
+        self._step = self._first_step
         self._suspected_since_s: float | None = None
         self._expected_speed: float | None = None
         self._lowering = _Interval(_FIRST_INTERVAL_S, _MAX_LOWER_INTERVAL_S)
-        self._raising = _Interval(_FIRST_INTERVAL_S, _MAX_RAISE_INTERVAL_S)
-        self._exploring = _Interval(_FIRST_EXPLORATION_S, _MAX_EXPLORATION_S)
+        self._raising = _Interval(
+            _FIRST_RAISE_S, _MAX_RAISE_INTERVAL_S, _RAISE_INTERVAL_FACTOR
+        )
+        self._exploring = _Interval(
+            _FIRST_EXPLORATION_S,
+            _MAX_EXPLORATION_S,
+            _EXPLORATION_INTERVAL_FACTOR,
+        )
+
+    @property
+    def _first_step(self) -> int:
+        return max(1, int(self._slots * _FIRST_STEP_SHARE))
 
     @property
     def slots(self) -> int:
@@ -217,8 +258,8 @@
             window.finish(run.started_s, run.concurrency, cost)
             if window.is_complete(now_s):
                 self._finish_window(window.result(now_s), now_s)
-            elif self._phase is _Phase.RAISED:
-                self._check_raised_early(window, now_s)
+            elif self._phase in _EARLY_PHASES:
+                self._check_early(window, now_s)
         if self._window is window and window.is_expired(now_s):
             self._begin(_Phase.STEADY, self._learned, now_s)
         return self._window.limit
@@ -228,6 +269,7 @@
         self._window = CapacityWindow(self._window.number + 1, limit, now_s)
 
     def _finish_window(self, result: WindowResult, now_s: float) -> None:
+        """Draws conclusions from a complete window, or lets it continue."""
         if self._phase is _Phase.STEADY:
             self._finish_steady(result, now_s)
         elif self._phase is _Phase.LOWERED:
@@ -240,6 +282,9 @@
     # Steady state.
 
     def _finish_steady(self, result: WindowResult, now_s: float) -> None:
+        before = self._before
+        if before is not None and before.limit == result.limit:
+            result = result.merged(before, _EARLIER_WEIGHT)
         self._before = result
         if result.is_filled:
             self._update_reference(result, now_s)
@@ -264,6 +309,8 @@
         """
         elapsed_s = now_s - self._reference_s
         weight = 1 - exp(-elapsed_s / _REFERENCE_TIME_CONSTANT_S)
+        if result.throughput > self._reference:
+            weight = _REFERENCE_GAIN_WEIGHT
         self._reference += weight * (result.throughput - self._reference)
         self._reference_s = now_s
 
@@ -305,15 +352,31 @@
 
     def _finish_lowered(self, result: WindowResult, now_s: float) -> None:
         assert self._before is not None
-        if self._shows_gain(result, self._before):
+        gain = self._shows_gain(result, self._before)
+        if gain is None and not result.is_precise:
+            self._window.extend()
+            return
+        if gain:
             self._trial = result
             self._begin(_Phase.RESTORED, self._learned, now_s)
             return
+        self._reject_lower(result, now_s)
+
+    def _reject_lower(self, result: WindowResult, now_s: float) -> None:
+        """Ends a trial of a lower limit that has shown no gain.
+
+        Args:
+            result: What the trial has shown.
+            now_s: Present time.
+        """
         expected = self._expected_speed
-        if expected is not None and result.speed < expected:
+        slower = result.speed * (1 + _SLOWER_ERRORS * result.relative_error)
+        if expected is not None and slower < expected:
             # The upstream has become slower at this concurrency, too.
             self._bins.scale(expected / result.speed)
-        self._reject_lower(now_s)
+        self._suspected_since_s = None
+        self._lowering.back_off(now_s)
+        self._begin(_Phase.STEADY, self._learned, now_s)
 
     def _finish_restored(self, result: WindowResult, now_s: float) -> None:
         assert self._trial is not None
@@ -321,35 +384,44 @@
             # The demand has fallen, so that the two limits are not comparable.
             self._begin(_Phase.STEADY, self._learned, now_s)
             return
-        if not self._shows_gain(self._trial, result):
-            self._reject_lower(now_s)
+        gain = self._shows_gain(self._trial, result)
+        if gain is None and not result.is_precise:
+            self._window.extend()
+            return
+        if not gain:
+            self._reject_lower(self._trial, now_s)
             return
         self._learned = self._trial.limit
         self._reference = self._trial.throughput
         self._reference_s = now_s
-        self._step = 1
+        self._step = self._first_step
         self._suspected_since_s = None
         self._lowering.restart(now_s)
         self._raising.restart(now_s)
         self._begin(_Phase.STEADY, self._learned, now_s)
 
-    def _shows_gain(self, lower: WindowResult, other: WindowResult) -> bool:
+    def _shows_gain(
+        self, lower: WindowResult, other: WindowResult
+    ) -> bool | None:
+        """Returns whether there is a gain, None if it is not certain."""
         ratio, error = lower.compare(other)
-        return ratio - error > _REQUIRED_GAIN
+        margin = error * _DECISIVE_ERRORS
+        if ratio - margin > _REQUIRED_GAIN:
+            return True
+        return False if ratio + margin < _REQUIRED_GAIN else None
 
-    def _reject_lower(self, now_s: float) -> None:
-        self._suspected_since_s = None
-        self._lowering.back_off(now_s)
-        self._begin(_Phase.STEADY, self._learned, now_s)
-
-    def _check_raised_early(self, window: CapacityWindow, now_s: float) -> None:
-        """Ends a raise whose loss is evident before its window is complete."""
+    def _check_early(self, window: CapacityWindow, now_s: float) -> None:
+        """Ends a trial whose loss is evident before its window is complete."""
         assert self._before is not None
         if not window.is_comparable_early(now_s, self._before.mean_s):
             return
         ratio, error = window.result(now_s).compare(self._before)
-        if ratio + _EARLY_ERRORS * error < _EARLY_LOSS:
-            self._reject_raise(now_s)
+        if ratio + _EARLY_ERRORS * error >= _EARLY_LOSS:
+            return
+        if self._phase is _Phase.RAISED:
+            self._reject_raise(window.result(now_s).mean_s, now_s)
+        else:
+            self._reject_lower(window.result(now_s), now_s)
 
     def _finish_raised(self, result: WindowResult, now_s: float) -> None:
         assert self._before is not None
@@ -357,11 +429,14 @@
             self._begin(_Phase.STEADY, self._learned, now_s)
             return
         ratio, error = result.compare(self._before)
+        if abs(ratio - 1.0) < error and not result.is_precise:
+            self._window.extend()
+            return
         if (
-            ratio + _LOSS_ERRORS * error < 1.0
+            ratio < 1.0
             or result.throughput < self._reference * _REFERENCE_SHARE
         ):
-            self._reject_raise(now_s)
+            self._reject_raise(result.mean_s, now_s)
             return
         self._learned = result.limit
         max_step = max(1, int(self._slots * _MAX_STEP_SHARE))
@@ -369,7 +444,11 @@
         self._raising.restart(now_s)
         self._begin(_Phase.STEADY, self._learned, now_s)
 
-    def _reject_raise(self, now_s: float) -> None:
-        self._step = 1
-        self._raising.back_off(now_s)
+    def _reject_raise(self, mean_s: float, now_s: float) -> None:
+        if self._step > 1:
+            self._step //= 2
+            self._raising.repeat(now_s)
+        else:
+            self._step = self._first_step
+            self._raising.back_off(now_s, mean_s * _RAISE_SERVICE_TIMES)
         self._begin(_Phase.STEADY, self._learned, now_s)
--- a/packages/overload/radishtray_overload/_capacity_window.py
+++ b/packages/overload/radishtray_overload/_capacity_window.py
@@ -8,12 +8,16 @@
 # end a window early because it is clearly worse.
 _MIN_RUNS = 30.0
 _MIN_RUNS_EARLY = 12.0
+# Relative error of the speed, of about 180 equally costly runs.
+_PRECISE_ERROR = 0.075
 # A window lasts for this many of its mean service times. At its start no run of
 # it can end; in windows of equal relative length this has an equal effect.
 _MEAN_SERVICE_TIMES = 3.0
 _MEAN_SERVICE_TIMES_EARLY = 2.0
 _MIN_LENGTH_S = 0.05
 _MAX_LENGTH_S = 3.0
+_MAX_MEAN_SERVICE_TIMES = 6.0
+_LONGEST_S = 10.0
 # A window counts as filled if this share of its runs started at no less than
 # this share of the limit.
 _FILLED_RUNS = 0.6
@@ -41,6 +45,7 @@
         "_filled_count",
         "_open",
         "_open_offset_sum_s",
+        "_required_runs",
         "_slot_s",
         "_work_s",
         "_work_square_sum",
@@ -60,6 +65,7 @@
         self.number = number
         self.limit = limit
         self.start_s = start_s
+        self._required_runs = _MIN_RUNS
         self._filled_at = limit * _FILLED_SHARE
         self._filled_count = 0
         self._concurrency_sum = 0
@@ -110,12 +116,20 @@
 
     def is_complete(self, now_s: float) -> bool:
         """Returns whether the window is long enough for its throughput."""
-        if self._ended < _MIN_RUNS or self._effective_runs < _MIN_RUNS:
+        if self._effective_runs < self._required_runs:
             return False
         length_s = now_s - self.start_s
         mean_s = self._total_slot_s(now_s) / self._ended
         return length_s >= max(_MIN_LENGTH_S, _MEAN_SERVICE_TIMES * mean_s)
 
+    def extend(self) -> None:
+        """Lets the window continue for twice as many runs.
+
+        If each further run were compared, chance would decide most of the
+        comparisons.
+        """
+        self._required_runs *= 2.0
+
     def is_comparable_early(self, now_s: float, mean_s: float) -> bool:
         """Returns whether a much lower throughput would already be evident.
 
@@ -131,64 +145,127 @@
 
     def is_expired(self, now_s: float) -> bool:
         """Returns whether the window has lasted too long for a comparison."""
-        return now_s - self.start_s > _MAX_LENGTH_S
+        length_s = now_s - self.start_s
+        if length_s <= _MAX_LENGTH_S or not self._ended:
+            return length_s > _MAX_LENGTH_S
+        mean_s = self._total_slot_s(now_s) / self._ended
+        max_s = min(_MAX_MEAN_SERVICE_TIMES * mean_s, _LONGEST_S)
+        return length_s > max_s
 
     def result(self, now_s: float) -> "WindowResult":
         """Returns what the window has shown until now."""
-        slot_s = self._total_slot_s(now_s)
-        concurrency = self._concurrency_sum / max(1, self._ended)
         return WindowResult(
             self.limit,
-            concurrency,
-            self._work_s / slot_s if slot_s else 0.0,
-            slot_s / max(1, self._ended),
-            1 / sqrt(self._effective_runs) if self._ended else inf,
-            is_filled=self._filled_count >= self._ended * _FILLED_RUNS,
+            self._ended,
+            self._filled_count,
+            self._concurrency_sum,
+            self._total_slot_s(now_s),
+            self._work_s,
+            self._work_square_sum,
         )
 
 
 class WindowResult:
-    """What a window has shown.
+    """What one or more windows with the same limit have shown.
 
     Attributes:
         limit: Concurrency limit that was in force.
-        concurrency: Mean concurrency at the starts of the runs.
-        speed: Work per time in a slot.
-        throughput: Work per time.
-        mean_s: Mean service time.
-        relative_error: Standard error of the speed, relative to it.
-        is_filled: Whether most runs started with nearly all of the limit in
-            use.
+        ended: Runs that have ended.
     """
 
     __slots__ = (
-        "concurrency",
-        "is_filled",
+        "_concurrency_sum",
+        "_filled_count",
+        "_slot_s",
+        "_work_s",
+        "_work_square_sum",
+        "ended",
         "limit",
-        "mean_s",
-        "relative_error",
-        "speed",
-        "throughput",
     )
 
     def __init__(
         self,
         limit: int,
-        concurrency: float,
-        speed: float,
-        mean_s: float,
-        relative_error: float,
-        *,
-        is_filled: bool,
+        ended: float,
+        filled_count: float,
+        concurrency_sum: float,
+        slot_s: float,
+        work_s: float,
+        work_square_sum: float,
     ) -> None:
-        """Stores the values."""
+        """Stores the sums over the runs.
+
+        Args:
+            limit: Concurrency limit that was in force.
+            ended: Runs that have ended.
+            filled_count: Those that started with nearly all of the limit in
+                use.
+            concurrency_sum: Sum of the concurrency at their starts.
+            slot_s: Time in slots.
+            work_s: Sum of their work.
+            work_square_sum: Sum of the squares of their work.
+        """
         self.limit = limit
-        self.concurrency = concurrency
-        self.speed = speed
-        self.throughput = speed * concurrency
-        self.mean_s = mean_s
-        self.relative_error = relative_error
-        self.is_filled = is_filled
+        self.ended = ended
+        self._filled_count = filled_count
+        self._concurrency_sum = concurrency_sum
+        self._slot_s = slot_s
+        self._work_s = work_s
+        self._work_square_sum = work_square_sum
+
+    def merged(self, earlier: "WindowResult", weight: float) -> "WindowResult":
+        """Returns this result together with an earlier one.
+
+        Args:
+            earlier: Result with the same limit.
+            weight: Weight of its runs.
+        """
+        return WindowResult(
+            self.limit,
+            self.ended + weight * earlier.ended,
+            self._filled_count + weight * earlier._filled_count,
+            self._concurrency_sum + weight * earlier._concurrency_sum,
+            self._slot_s + weight * earlier._slot_s,
+            self._work_s + weight * earlier._work_s,
+            self._work_square_sum + weight * earlier._work_square_sum,
+        )
+
+    @property
+    def concurrency(self) -> float:
+        """Mean concurrency at the starts of the runs."""
+        return self._concurrency_sum / self.ended if self.ended else 0.0
+
+    @property
+    def speed(self) -> float:
+        """Work per time in a slot."""
+        return self._work_s / self._slot_s if self._slot_s else 0.0
+
+    @property
+    def throughput(self) -> float:
+        """Work per time."""
+        return self.speed * self.concurrency
+
+    @property
+    def mean_s(self) -> float:
+        """Mean time in a slot."""
+        return self._slot_s / self.ended if self.ended else 0.0
+
+    @property
+    def relative_error(self) -> float:
+        """Standard error of the speed, relative to it."""
+        if not self._work_s:
+            return inf
+        return sqrt(self._work_square_sum) / self._work_s
+
+    @property
+    def is_filled(self) -> bool:
+        """Whether most runs started with nearly all of the limit in use."""
+        return self._filled_count >= self.ended * _FILLED_RUNS
+
+    @property
+    def is_precise(self) -> bool:
+        """Whether further runs would not improve a comparison by much."""
+        return self.relative_error <= _PRECISE_ERROR
 
     def compare(self, other: "WindowResult") -> tuple[float, float]:
         """Compares the throughput with that of another window.
--- a/packages/overload/radishtray_overload/_concurrency_bins.py
+++ b/packages/overload/radishtray_overload/_concurrency_bins.py
@@ -2,7 +2,7 @@
 
 _BIN_COUNT = 16
 # Samples that the mean of a bin is taken over; older ones decay.
-_BIN_SAMPLES = 64
+_BIN_SAMPLES = 128
 _MIN_SAMPLES = 20
 # Upstreams change, so older values of a bin are not compared with present ones.
 _MAX_AGE_S = 60.0
--- a/packages/overload/radishtray_overload/_kind_costs.py
+++ b/packages/overload/radishtray_overload/_kind_costs.py
@@ -25,15 +25,15 @@
     """Means of one kind, in seconds.
 
     Attributes:
-        samples: Service times that the means contain, at most _KIND_SAMPLES.
+        runs: Number of runs.
         service_s: Mean service time at the common level 1.
         waited_s: Mean time for which a run waits for calls of its own.
     """
 
-    __slots__ = ("samples", "service_s", "waited_s")
+    __slots__ = ("runs", "service_s", "waited_s")
 
     def __init__(self) -> None:
-        self.samples = 0
+        self.runs = 0
         self.service_s = 0.0
         self.waited_s = 0.0
 
@@ -64,13 +64,17 @@
     that slows down with its concurrency.
     """
 
-    __slots__ = ("_level", "_means", "_samples")
+    __slots__ = ("_level", "_means", "_runs", "_unit")
 
     def __init__(self) -> None:
         """Starts without kinds."""
         self._means: dict[str, _KindMean] = {}
         self._level = 1.0
-        self._samples = 0
+        self._runs = 0
+        # Keeps the mean cost of all kinds constant. The common level follows a
+        # change of the upstream's speed late, and the means of the kinds would
+        # take over a part of each change.
+        self._unit = 1.0
 
     def __len__(self) -> int:
         """Number of kinds with a mean of their own."""
@@ -85,23 +89,22 @@
             waited_s: Part of it in which calls of the run were open.
         """
         mean = self._find(kind)
-        if mean.samples < _KIND_SAMPLES:
-            mean.samples += 1
-        weight = 1.0 / mean.samples
+        mean.runs += 1
+        self._runs += 1
+        weight = 1.0 / min(mean.runs, _KIND_SAMPLES)
         mean.waited_s += weight * (waited_s - mean.waited_s)
         own_s = max(service_s - waited_s, _MIN_SERVICE_S)
         comparable_s = own_s + mean.waited_s
-        level = self._level
-        bounded_s = comparable_s
-        if mean.samples > 1:
-            bound_s = mean.service_s * level * _MAX_QUOTIENT
-            bounded_s = min(comparable_s, bound_s)
-        mean.service_s += weight * (bounded_s / level - mean.service_s)
+        if mean.runs == 1:
+            mean.service_s = comparable_s / self._level
         quotient = min(comparable_s / mean.service_s, _MAX_QUOTIENT)
-        self._samples += 1
-        if self._samples > _SETTLING_SAMPLES:
-            self._level += (quotient - level) / _LEVEL_SAMPLES
-        return RunCost(mean.service_s, comparable_s)
+        change = weight * (quotient / self._level - 1.0)
+        mean.service_s *= 1.0 + change
+        if self._runs > _SETTLING_SAMPLES:
+            self._level += (quotient - self._level) / _LEVEL_SAMPLES
+            share = mean.runs / self._runs
+            self._unit *= (1.0 + change) ** -share
+        return RunCost(mean.service_s * self._unit, comparable_s)
 
     def _find(self, kind: str) -> _KindMean:
         mean = self._means.get(kind)
--- a/packages/overload/radishtray_overload/tests/upstream_model.py
+++ b/packages/overload/radishtray_overload/tests/upstream_model.py
@@ -75,6 +75,22 @@
         return max(c / self.factor(c, 0.0) for c in range(1, USABLE_SLOTS + 1))
 
 
+class _Request:
+    """One request; its times are drawn at its arrival, alike in all runs."""
+
+    __slots__ = ("arrived_s", "kind", "service_s", "waited_s")
+
+    def __init__(
+        self, kind: Kind, arrived_s: float, rng: random.Random
+    ) -> None:
+        self.kind = kind
+        self.arrived_s = arrived_s
+        self.service_s = rng.expovariate(1 / kind.service_s)
+        self.waited_s = 0.0
+        if kind.waited_s:
+            self.waited_s = rng.expovariate(1 / kind.waited_s)
+
+
 @dataclass(slots=True)
 class UpstreamRun:
     """Runs requests and records the work that ends in each tenth of a second.
@@ -107,8 +123,8 @@
         mean_s = sum(
             k.weight * (k.service_s + k.waited_s) for k in self.kinds
         ) / sum(weights)
-        queue: deque[tuple[Kind, float]] = deque()
-        running: list[tuple[float, int, Kind, ObservedRun, float, float]] = []
+        queue: deque[_Request] = deque()
+        running: list[tuple[float, int, _Request, ObservedRun, float]] = []
         next_arrival_s = 0.0
         number = 0
         while True:
@@ -121,36 +137,36 @@
             if now_s == next_arrival_s:
                 rate = self.demand(now_s) / mean_s
                 next_arrival_s += rng.expovariate(rate)
-                kind = rng.choices(self.kinds, weights)[0]
+                request = _Request(
+                    rng.choices(self.kinds, weights)[0], now_s, rng
+                )
                 if len(queue) < MAX_QUEUED:
-                    queue.append((kind, now_s))
+                    queue.append(request)
             else:
-                _, _, kind, run, waited_s, arrived_s = heapq.heappop(running)
-                work = kind.service_s + kind.waited_s
+                _, _, request, run, waited_s = heapq.heappop(running)
+                work = request.service_s + request.waited_s
                 bucket = int(now_s * 10)
                 self._work[bucket] = self._work.get(bucket, 0.0) + work
-                self.latencies.append((arrived_s, now_s - arrived_s))
+                self.latencies.append(
+                    (request.arrived_s, now_s - request.arrived_s)
+                )
                 if self.is_learning:
                     limit = capacity.finish(run, now_s, waited_s)
             while queue and len(running) < limit:
-                kind, arrived_s = queue.popleft()
+                request = queue.popleft()
                 concurrency = len(running) + 1
                 factor = self.upstream.factor(concurrency, now_s)
-                service_s = rng.expovariate(1 / kind.service_s) * factor
-                waited_s = 0.0
-                if kind.waited_s:
-                    waited_s = rng.expovariate(1 / kind.waited_s)
-                    waited_s *= self.upstream.wait(now_s)
+                service_s = request.service_s * factor
+                waited_s = request.waited_s * self.upstream.wait(now_s)
                 number += 1
                 heapq.heappush(
                     running,
                     (
                         now_s + service_s + waited_s,
                         number,
-                        kind,
-                        capacity.begin(kind.name, concurrency, now_s),
+                        request,
+                        capacity.begin(request.kind.name, concurrency, now_s),
                         waited_s,
-                        arrived_s,
                     ),
                 )
 
