Entry order: direct requests raised by up to 48 levels instead of 88

Cause: raising them by 88 levels had more calls run for trees that failed later than by 48, for the same value.

--- a/packages/overload/radishtray_overload/_entry_order.py
+++ b/packages/overload/radishtray_overload/_entry_order.py
@@ -44,9 +44,12 @@
 # Levels by which a request to a scarce service itself is raised. A chain whose
 # first request has level L makes its first call there at level L + 8 and its
 # later ones at up to 127, as less is left of it. A request that needs little is
-# comparable with a chain of which as little is left.
+# comparable with a chain of which as little is left. In the model, with trees
+# of eight calls and 2.5 times the capacity, 0.847 of the direct requests were
+# served without raising them, 0.942 with 40 levels and 0.946 with 80, which
+# also had more calls run for trees that failed later.
 _DIRECT_LEVELS = 8
-_DIRECT_LEVELS_BY_SAVING = 80
+_DIRECT_LEVELS_BY_SAVING = 40
 _BUDGET_WINDOW_S = 30.0
 _MAX_ROUTES = 256
 
