--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -21,6 +21,7 @@
 from radishtray_node._call_router import CallRouter
 from radishtray_node._capacity_monitor import CapacityMonitor
 from radishtray_node._compression_metrics import add_compression_gauge
+from radishtray_node._crash_blocklist import CrashBlocklist
 from radishtray_node._decision_log import DecisionLog
 from radishtray_node._entry_decisions import EntryDecisions
 from radishtray_node._features import Feature
@@ -35,7 +36,7 @@
 from radishtray_node._organisations import ALLOTMENT_TICK_S, Organisations
 from radishtray_node._peer_link import PeerLink
 from radishtray_node._reactor import uncached
-from radishtray_node._route_entry import CrashBlocklist, RouteEntry
+from radishtray_node._route_entry import RouteEntry
 from radishtray_node._running_request import RunningRequests
 from radishtray_node._service_uses import RunUses
 from radishtray_node._timers import TimerWheel
--- a/packages/node/radishtray_node/_route_entry.py
+++ b/packages/node/radishtray_node/_route_entry.py
@@ -10,10 +10,11 @@
 import random
 from collections.abc import Callable
 
-from radishtray_node._call_result import CallResult
 from radishtray_node._call_router import CallRouter
+from radishtray_node._crash_blocklist import CrashBlocklist
 from radishtray_node._decision_log import DecisionLog
 from radishtray_node._entry_decisions import EntryDecisions
+from radishtray_node._exchange import Exchange
 from radishtray_node._forwarding import HOST_HEADER, HeaderNames
 from radishtray_node._organisation_gate import (
     ANONYMOUS,
@@ -23,21 +24,15 @@
 )
 from radishtray_node._request_parts import forwarded_headers
 from radishtray_node._routed_call import RoutedCall, RoutedRequest
-from radishtray_organisations import (
-    TokenVerdict,
-    TokenWait,
-    place_request_level,
-)
+from radishtray_organisations import place_request_level
 from radishtray_protocol import Route, RouteTable
 from radishtray_state import (
     FIRST_LEVELS,
     ArrivalBudget,
     CallChains,
-    CrashTally,
     ParentRequest,
     RefusalReason,
     ServiceRejections,
-    SuspectVerdict,
     WeightedRoundRobin,
     fingerprint,
 )
@@ -57,198 +52,6 @@
 _PROBE_SHARE = 0.01
 
 
-class CrashBlocklist:
-    """Blocks requests whose content has crashed too many upstreams."""
-
-    __slots__ = ("_crash_tally", "_is_prober")
-
-    def __init__(
-        self, crash_tally: CrashTally, is_prober: Callable[[int], bool]
-    ) -> None:
-        """Creates a blocklist.
-
-        Args:
-            crash_tally: Crash counts, by fingerprint.
-            is_prober: Returns whether it is this node of the fleet that tries
-                single runs of a blocked request.
-        """
-        self._crash_tally = crash_tally
-        self._is_prober = is_prober
-
-    def is_blocked(self, fingerprint: int) -> bool:
-        """Returns whether requests with this fingerprint must not be sent."""
-        return self._crash_tally.check(fingerprint) is SuspectVerdict.REFUSE
-
-    def claim_probe(self, fingerprint: int) -> bool:
-        """Returns whether to send a blocked request once all the same."""
-        tally = self._crash_tally
-        return (
-            tally.is_probe_due(fingerprint)
-            and self._is_prober(fingerprint)
-            and tally.claim_probe(fingerprint)
-        )
-
-    def is_suspect(self, fingerprint: int) -> bool:
-        """Returns whether an upstream crashed while it ran such a request."""
-        return self._crash_tally.crashes(fingerprint) > 0
-
-
-class _Exchange:
-    """One request of a caller, from its arrival to its answer."""
-
-    __slots__ = (
-        "_call",
-        "_caller_timeout_s",
-        "_entry",
-        "_http",
-        "_identity",
-        "_parent",
-        "_request_id",
-        "_route",
-        "_started_s",
-        "_token",
-        "_token_wait",
-    )
-
-    def __init__(
-        self,
-        entry: "RouteEntry",
-        http: HttpRequest,
-        route: Route,
-        request_id: bytes,
-        caller_timeout_s: float,
-        started_s: float,
-        parent: ParentRequest | None,
-        identity: CallerIdentity,
-    ) -> None:
-        self._identity = identity
-        self._token: TokenVerdict | None = None
-        self._token_wait: TokenWait | None = None
-        self._entry = entry
-        self._parent = parent
-        self._http = http
-        self._route = route
-        self._request_id = request_id
-        self._caller_timeout_s = caller_timeout_s
-        self._started_s = started_s
-        self._call: RoutedCall | None = None
-
-    def start(self, call: RoutedCall) -> None:
-        """Starts the call and cancels it if the caller disconnects.
-
-        A request of an organisation with an allotment first takes a token.
-        """
-        self._call = call
-        self._http.on_disconnect = self._on_disconnect
-        if self._parent is not None:
-            self._parent.begin_call(self._entry.router.clock.monotonic())
-        if self._identity.is_limited:
-            self._token_wait = self._entry.gate.acquire(
-                self._identity, self._on_token
-            )
-        else:
-            call.start()
-
-    def _on_token(self, token: TokenVerdict) -> None:
-        self._token_wait = None
-        call = self._call
-        if call is None:
-            return
-        if token.is_granted:
-            self._token = token
-            if not token.is_regular:
-                call.lower_level(self._entry.draw_excess_level(self._route))
-            call.start()
-            return
-        reason = (
-            RefusalReason.ALLOTMENT_EXHAUSTED
-            if token.is_answered
-            else RefusalReason.ALLOTMENT_UNKNOWN
-        )
-        self._entry.router.metrics.count_refusal(reason)
-        call.cancel()
-        self.finish(CallResult.refused(reason), token.retry_s)
-
-    def _return_token(self, refusal: RefusalReason | None) -> None:
-        """Returns the token of a request that has not run."""
-        token, self._token = self._token, None
-        if token is not None and refusal is not None and refusal.is_not_run:
-            self._entry.gate.release(self._identity, token)
-
-    def finish(self, result: CallResult, retry_s: float | None = None) -> None:
-        """Answers the caller.
-
-        Args:
-            result: The result of the request.
-            retry_s: Seconds after which a refused request may come again; None
-                to choose it by the reason.
-        """
-        self._return_token(result.refusal)
-        if self._identity.organisation:
-            self._entry.count_organisation(
-                self._identity.organisation, result.refusal
-            )
-        # Breaks the reference cycle, so that both are freed without a garbage
-        # collection.
-        self._call = None
-        entry = self._entry
-        entry.exchanges.discard(self)
-        self._end_call(
-            has_failed=result.refusal is not None or result.is_server_error
-        )
-        held_s = entry.router.clock.monotonic() - self._started_s
-        entry.timer.record(held_s)
-        entry.decisions.record(self._route, self._parent, result, held_s)
-        if result.refusal is None:
-            self._http.respond(result.status, result.headers, result.body)
-            return
-        entry.router.metrics.count_delivered_refusal(result.refusal)
-        entry.log.log_unanswered(
-            self._request_id,
-            self._route.name,
-            result.refusal,
-            held_s,
-            entry.version,
-            self._identity.organisation,
-        )
-        entry.refuse(
-            self._http,
-            result.refusal,
-            self._caller_timeout_s - held_s,
-            retry_s,
-            entry.decisions.retry_after_s(
-                self._route,
-                result.refusal,
-                self._caller_timeout_s,
-                self._caller_timeout_s - held_s,
-            ),
-        )
-
-    def _end_call(self, *, has_failed: bool) -> None:
-        """Records the end of a call in the request that it was made for."""
-        parent = self._parent
-        if parent is not None:
-            parent.end_call(self._entry.router.clock.monotonic())
-            if has_failed:
-                parent.has_failed_call = True
-            else:
-                parent.served_calls += 1
-
-    def end(self) -> None:
-        """Answers the caller now, as at the deadline of the request."""
-        if self._call is not None:
-            self._call.end()
-
-    def _on_disconnect(self) -> None:
-        self._entry.exchanges.discard(self)
-        self._end_call(has_failed=True)
-        self._entry.log.log_caller_left(self._request_id, self._route.name)
-        if self._token_wait is not None:
-            self._token_wait.cancel()
-        if self._call is not None:
-            self._call.cancel()
-
-
 class RouteEntry:
     """Handler of the listener for forwarded requests.
 
@@ -329,7 +132,7 @@
         self.chains = chains
         self.log = log
         self.timer = router.metrics.create_stage_timer("entry")
-        self.exchanges: set[_Exchange] = set()
+        self.exchanges: set[Exchange] = set()
         self._header_names = header_names
         self._headers_set_by_nodes = header_names.set_by_nodes
         self._headers_about_organisations = header_names.set_by_nodes | {
@@ -437,7 +240,7 @@
             return
         service = self._split_round_robins[route.name].next_service()
         self._count_request(route.name)
-        exchange = _Exchange(
+        exchange = Exchange(
             self,
             http,
             route,
