Let go of a request once its ticket has ended

The list of deadlines keeps each ticket until its deadline, though it may have been dropped or cancelled long before. The ticket's callbacks referred to the request with its body.

--- a/packages/state/radishtray_state/_admission.py
+++ b/packages/state/radishtray_state/_admission.py
@@ -14,7 +14,6 @@
 from radishtray_state._admission_policy import ADMISSION_POLICIES
 from radishtray_state._clock import Clock
 from radishtray_state._rank_queue import (
-    DONE,
     QUEUED,
     RUNNING,
     RankQueue,
@@ -220,7 +219,7 @@
         """
         if ticket.state != RUNNING:
             return
-        ticket.state = DONE
+        ticket.end()
         self._in_flight -= 1
         if service_s is not None:
             self._service_times.add(ticket.kind, service_s)
@@ -234,7 +233,7 @@
         """
         if ticket.state != QUEUED:
             return False
-        ticket.state = DONE
+        ticket.end()
         self._queue.remove(ticket)
         return True
 
@@ -310,15 +309,16 @@
         if self._queue.size > self._policy.max_queued_per_slot * self._slots:
             dropped = self._queue.pop_lowest()
             if dropped is ticket:
-                ticket.state = DONE
+                ticket.end()
                 return RefusalReason.QUEUE_FULL
             self._drop(dropped, RefusalReason.QUEUE_FULL)
         self._dispatch()
         return None
 
     def _drop(self, ticket: Ticket, reason: RefusalReason) -> None:
-        ticket.state = DONE
-        ticket.on_drop(reason)
+        on_drop = ticket.on_drop
+        ticket.end()
+        on_drop(reason)
 
     def _dispatch(self) -> None:
         # A callback may finish its ticket at once and so call this method
--- a/packages/state/radishtray_state/_rank_queue.py
+++ b/packages/state/radishtray_state/_rank_queue.py
@@ -64,6 +64,20 @@
         self.kind = kind
         self.state = NEW
 
+    def end(self) -> None:
+        """Sets the state to `DONE` and drops the callbacks.
+
+        The list of deadlines still refers to the ticket, and the callbacks to
+        the request with its body.
+        """
+        self.state = DONE
+        self.on_run = _do_nothing
+        self.on_drop = _do_nothing
+
+
+def _do_nothing(*_: object) -> None:
+    """Replaces the callbacks of a ticket that has ended."""
+
 
 class RankQueue:
     """Priority queue of tickets: a FIFO per rank and a bitmap of FIFOs in use.
