Account for the memory that callers can fill; bound connections

Callers that send legal bodies, in whole or stopping short, took a node of 100 MB to 128 to 502 MB: the first 64 KiB of each body counted toward no limit, the limit for large bodies was used up by callers that stop short, and a body that is sent on was held up to four times. Connections were bounded by listener without regard to the descriptors of the process.

- MemoryAccount replaces LargeBodyLimit: purposes with gauges, registered holders, priorities that leave memory to small requests, order of waiting.
- RequestIntake admits a body in steps before it is read: 4 KiB, 64 KiB, its length.
Without memory the connection is not read; after half of the caller's time budget the request gets a 503 with Retry-After and Connection: close.
- Under pressure, bodies slower than 1 KiB/s over 6 s end with 408, and clients that have read nothing for 6 s are reset.
Heads have headerTimeoutS.
- PieceWriter and encode_frame_parts send bodies on without copying them; a frame that arrives in parts is no longer copied for each part.
- ProcessLimits divides memory and descriptors; listeners for checks, reports and metrics have connections of their own and need no account.
Unused and half-open connections make room for new ones.

MemoryTransport calls pull producers.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -30,6 +30,7 @@
 from radishtray_node._node_server import NodeServer
 from radishtray_node._organisations import Organisations
 from radishtray_node._peer_link import PeerLink
+from radishtray_node._process_limits import ProcessLimits
 from radishtray_node._reactor import uncached
 from radishtray_node._route_entry import CrashBlocklist, RouteEntry
 from radishtray_node._running_request import RunningRequests
@@ -61,7 +62,7 @@
     HttpLimits,
     HttpRequest,
     HttpServer,
-    LargeBodyLimit,
+    MemoryAccount,
     NodeConnection,
     NodeIdentity,
     NodeListener,
@@ -79,10 +80,6 @@
 # A request must fit into one frame between nodes, of 4 MiB.
 _MAX_BODY_BYTES = 3 * 1024 * 1024 + 512 * 1024
 _REQUEST_TIMEOUT_S = 30.0
-# Shares of the node's memory for large bodies of requests, from their arrival
-# to the answer, and for those of answers that are being read.
-_REQUEST_MEMORY_SHARE = 0.6
-_ANSWER_MEMORY_SHARE = 1 / 6
 # Connections to the upstream that were idle for longer are not reused. The
 # upstream may state a shorter limit.
 _UPSTREAM_IDLE_LIMIT_S = 5.0
@@ -122,6 +119,7 @@
         "_fleet",
         "_fleet_size",
         "_is_draining",
+        "_limits",
         "_listeners",
         "_node_listener",
         "_node_server",
@@ -129,7 +127,6 @@
         "_periodic_calls",
         "_reactor",
         "_report_handler",
-        "_request_bodies",
         "_rng",
         "_router",
         "_service_size",
@@ -191,9 +188,10 @@
         self._ended_processes = EndedProcesses()
         self._fleet_size = HeldMaximum(clock, _FLEET_SIZE_HOLD_S)
         self._service_size = HeldMaximum(clock, _FLEET_SIZE_HOLD_S)
-        self._request_bodies = LargeBodyLimit(
-            int(settings.memory_bytes * _REQUEST_MEMORY_SHARE)
+        self._limits = ProcessLimits(
+            settings.memory_bytes, settings.max_descriptors
         )
+        self._limits.add_gauges(self.metrics)
         self._upstream_server, self.upstream = self._build_upstream_server()
         self._upstream_reports = UpstreamReports(
             reactor,
@@ -242,10 +240,15 @@
             self._upstream_server,
             self.metrics,
             self._on_control_frame,
-            self._request_bodies,
+            self._limits.account,
         )
         self._node_listener = NodeListener(
-            reactor, self.identity, settings.cluster_keys, self._node_server
+            reactor,
+            self.identity,
+            settings.cluster_keys,
+            self._node_server,
+            self._limits.node_connections,
+            self._limits.account,
         )
         self._listeners = self._build_listeners()
         self._periodic_calls = [
@@ -274,9 +277,8 @@
                 fault.value
             ).inc(),
             is_restart=not self.settings.is_first_start,
-            response_memory_bytes=int(
-                self.settings.memory_bytes * _ANSWER_MEMORY_SHARE
-            ),
+            memory=self._limits.account,
+            max_connections=self._limits.upstream_connections,
         )
         server = UpstreamServer(
             self.clock,
@@ -326,29 +328,42 @@
         def http(
             name: str,
             handler: Callable[[HttpRequest], None],
+            limits: HttpLimits,
             may_overlap: Callable[[HttpRequest], bool] = lambda _: False,
+            memory: MemoryAccount | None = None,
         ) -> HttpServer:
             return HttpServer(
                 self._reactor,
                 handler,
-                HttpLimits(
-                    body_bytes=_MAX_BODY_BYTES, request_s=_REQUEST_TIMEOUT_S
-                ),
+                limits,
                 lambda reason: self.metrics.rejected_input.labels(
                     name, reason
                 ).inc(),
                 may_overlap,
-                self._request_bodies,
+                memory,
+                self.settings.headers.deadline_ms.encode(),
             )
 
-        callers = http("caller", self.entry.handle, self.entry.may_overlap)
+        def control(
+            name: str, handler: Callable[[HttpRequest], None]
+        ) -> HttpServer:
+            return http(name, handler, self._limits.control_limits())
+
+        callers = http(
+            "caller",
+            self.entry.handle,
+            self._limits.caller_limits(_MAX_BODY_BYTES, _REQUEST_TIMEOUT_S),
+            self.entry.may_overlap,
+            self._limits.account,
+        )
+        readiness = control("readiness", self._answer_readiness)
         listeners = [
             (callers, *addresses.caller),
-            (http("readiness", self._answer_readiness), *addresses.readiness),
-            (http("reports", self._answer_report), *addresses.reports),
+            (readiness, *addresses.readiness),
+            (control("reports", self._answer_report), *addresses.reports),
         ]
         if addresses.metrics_port:
-            metrics = http("metrics", self._answer_metrics)
+            metrics = control("metrics", self._answer_metrics)
             listeners.append((metrics, addresses.host, addresses.metrics_port))
         return listeners
 
@@ -453,6 +468,7 @@
         limits = self._listeners[0][0].limits
         limits.head_bytes = table.limits.head_bytes
         limits.body_bytes = min(table.limits.body_bytes, _MAX_BODY_BYTES)
+        limits.head_s = table.limits.head_s
         limits.idle_s = table.limits.idle_s
         self._upstream_reports.set_health_paths(table.health_paths)
 
@@ -547,6 +563,7 @@
             lambda calls, incarnation: self._on_process_ended(
                 node_id, calls, incarnation
             ),
+            self._limits.account,
         )
 
     def _on_process_ended(
--- a/packages/node/radishtray_node/_local_upstream.py
+++ b/packages/node/radishtray_node/_local_upstream.py
@@ -20,7 +20,7 @@
 )
 from radishtray_transport import (
     HttpClient,
-    LargeBodyLimit,
+    MemoryAccount,
     ResponseFault,
     ResponseRules,
 )
@@ -34,8 +34,8 @@
 # Allowed in addition to one connection per slot, for connections that are still
 # being closed after a cancelled request.
 _SPARE_CONNECTIONS = 16
+_DEFAULT_MAX_CONNECTIONS = 8192
 _MAX_RESPONSE_BYTES = 2 * 1024 * 1024
-_DEFAULT_RESPONSE_MEMORY_BYTES = 50_000_000
 
 
 class Announcement:
@@ -133,10 +133,6 @@
         return Error(f"the announcement is invalid: {error}")
 
 
-def _max_connections(announcement: Announcement) -> int:
-    return announcement.slots + _SPARE_CONNECTIONS
-
-
 class _Probe(Protocol):
     def connectionMade(self) -> None:
         self.transport.abortConnection()
@@ -200,8 +196,9 @@
     __slots__ = (
         "_clock",
         "_identity",
-        "_large_bodies",
         "_last_heartbeat_s",
+        "_max_connections",
+        "_memory",
         "_on_change",
         "_on_crash",
         "_on_response_fault",
@@ -227,7 +224,8 @@
         on_response_fault: Callable[[ResponseFault], None] = lambda _: None,
         *,
         is_restart: bool = False,
-        response_memory_bytes: int = _DEFAULT_RESPONSE_MEMORY_BYTES,
+        memory: MemoryAccount | None = None,
+        max_connections: int = _DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         """Creates the state before the first announcement.
 
@@ -247,11 +245,13 @@
                 sends.
             is_restart: Whether an earlier process of the node may have known a
                 request rate of the upstream.
-            response_memory_bytes: Memory for large responses that are being
-                read.
+            memory: Account for large responses that are being read; None for
+                no limit.
+            max_connections: Most connections to the upstream.
         """
         self._on_response_fault = on_response_fault
-        self._large_bodies = LargeBodyLimit(response_memory_bytes)
+        self._memory = memory
+        self._max_connections = max_connections
         self._response_rules = response_rules
         self._reactor = reactor
         self._clock = clock
@@ -303,7 +303,7 @@
         if known is None or known.slots != announcement.slots or is_new:
             self.admission.set_slots(announcement.slots)
             if self.process is not None:
-                self.process.client.max_connections = _max_connections(
+                self.process.client.max_connections = self._client_connections(
                     announcement
                 )
             _LOG.info(
@@ -316,6 +316,11 @@
             )
             self._on_change()
 
+    def _client_connections(self, announcement: Announcement) -> int:
+        return min(
+            announcement.slots + _SPARE_CONNECTIONS, self._max_connections
+        )
+
     def _replace_process(self, announcement: Announcement) -> None:
         if self.process is not None:
             self.process.client.close()
@@ -327,13 +332,13 @@
             self._reactor,
             announcement.host,
             announcement.port,
-            _max_connections(announcement),
+            self._client_connections(announcement),
             _MAX_RESPONSE_BYTES,
             self._response_rules,
             self._on_response_fault,
             uses_keep_alive=True,
             may_read_slowly=True,
-            large_bodies=self._large_bodies,
+            memory=self._memory,
         )
         self.process = UpstreamProcess(client)
         if announcement.cold_start_s > 0:
--- a/packages/node/radishtray_node/_node_server.py
+++ b/packages/node/radishtray_node/_node_server.py
@@ -16,15 +16,19 @@
     RefusalReason,
 )
 from radishtray_transport import (
-    FREE_BODY_BYTES,
+    SMALL_BODY_BYTES,
     UNTRACKED_EPOCH,
-    LargeBodyLimit,
+    MemoryAccount,
+    MemoryPriority,
+    MemoryPurpose,
     NodeConnection,
 )
 
 _LOG = logging.getLogger(__name__)
 # Memory that a kept answer takes besides its headers and body.
 _ANSWER_OVERHEAD_BYTES = 600
+# Memory that a call takes besides its body, with its headers.
+_CALL_OVERHEAD_BYTES = 4000
 # With a ping every second, 100 busy connections took 6 KB/s of the 14 KB/s for
 # control traffic. Answers are kept for at most 30 s even without a pong.
 _TICKS_PER_PING = 5
@@ -76,7 +80,7 @@
         "_attempt_table",
         "_connections_by_token",
         "_control_handler",
-        "_large_bodies",
+        "_memory",
         "_metrics",
         "_peers",
         "_server",
@@ -91,7 +95,7 @@
         server: UpstreamServer,
         metrics: Metrics,
         control_handler: ControlHandler,
-        large_bodies: LargeBodyLimit | None = None,
+        memory: MemoryAccount | None = None,
     ) -> None:
         """Creates a server without connections.
 
@@ -100,10 +104,9 @@
             server: Runs the calls on the upstream.
             metrics: Metrics of this node.
             control_handler: Receives frames that are neither calls nor queries.
-            large_bodies: Limits the memory for large bodies of calls; None for
-                no limit.
+            memory: Account of the memory for calls; None for no limit.
         """
-        self._large_bodies = large_bodies
+        self._memory = memory
         self._server = server
         self._metrics = metrics
         self._control_handler = control_handler
@@ -192,8 +195,8 @@
 
         def done(result: CallResult, retries: int) -> None:
             self._unanswered_calls.pop(key, None)
-            if self._large_bodies is not None:
-                self._large_bodies.release(key)
+            if self._memory is not None:
+                self._memory.release(key)
             self._send_answer(token, attempt_id, result, retries, call.kind)
 
         def start() -> None:
@@ -204,12 +207,15 @@
         self._arrived_calls[key] = start
 
     def _take_memory(self, key: _AttemptKey, call: wire.Call) -> bool:
-        """Returns whether there is memory for the body of a call."""
+        """Returns whether there is memory for a call."""
         size = len(call.body)
-        return (
-            self._large_bodies is None
-            or size <= FREE_BODY_BYTES
-            or self._large_bodies.try_take(key, size)
+        return self._memory is None or self._memory.try_take(
+            key,
+            size + _CALL_OVERHEAD_BYTES,
+            MemoryPurpose.NODE_CALLS,
+            MemoryPriority.LARGE
+            if size > SMALL_BODY_BYTES
+            else MemoryPriority.MINIMAL,
         )
 
     def read_finished(self, connection: NodeConnection) -> None:
@@ -239,8 +245,8 @@
         if self._attempt_table.cancel(peer.token, attempt_id):
             key = peer.attempt_key(attempt_id)
             if self._arrived_calls.pop(key, None):
-                if self._large_bodies is not None:
-                    self._large_bodies.release(key)
+                if self._memory is not None:
+                    self._memory.release(key)
                 result = CallResult.refused(RefusalReason.CANCELLED_QUEUED)
                 self._send_answer(peer.token, attempt_id, result, 0, "")
                 return
--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -22,6 +22,7 @@
     SettledAttempt,
 )
 from radishtray_transport import (
+    MemoryAccount,
     NodeConnection,
     NodeIdentity,
     Signer,
@@ -71,6 +72,7 @@
         "_is_control_unconfirmed",
         "_last_call_sent_s",
         "_liveness",
+        "_memory",
         "_on_control",
         "_on_process_ended",
         "_on_rejected",
@@ -97,6 +99,7 @@
         on_verified: Callable[[str, int], None],
         on_rejected: Callable[[str], None],
         on_process_ended: ProcessEndedCallback = lambda _calls, _inc: None,
+        memory: MemoryAccount | None = None,
     ) -> None:
         """Prepares a link; it connects with the first frame.
 
@@ -114,7 +117,9 @@
                 connection.
             on_process_ended: Called if the peer's process has ended before it
                 answered some calls, with these calls and its incarnation.
+            memory: Account of the memory for unsent frames; None for no limit.
         """
+        self._memory = memory
         self.address = address
         self._reactor = reactor
         self._timers = timers
@@ -326,6 +331,7 @@
             self._outstanding.next_epoch(),
             self._signer,
             self,
+            memory=self._memory,
         )
 
     def _await_connection(self, connection: NodeConnection) -> None:
--- a/packages/protocol/radishtray_protocol/__init__.py
+++ b/packages/protocol/radishtray_protocol/__init__.py
@@ -37,6 +37,7 @@
     FrameError,
     decode_struct,
     encode_frame,
+    encode_frame_parts,
     encode_struct,
 )
 from radishtray_protocol._gen import ttypes as wire
@@ -121,6 +122,7 @@
     "decode_slot_table",
     "decode_struct",
     "encode_frame",
+    "encode_frame_parts",
     "encode_lease",
     "encode_routes",
     "encode_seeds",
--- a/packages/protocol/radishtray_protocol/_frames.py
+++ b/packages/protocol/radishtray_protocol/_frames.py
@@ -4,6 +4,7 @@
 Thrift's binary protocol.
 """
 
+import secrets
 import struct
 from collections.abc import Callable, Iterable
 from typing import Any, TypeVar
@@ -19,6 +20,7 @@
 _LENGTH_PREFIX_BYTES = _LENGTH_PREFIX.size
 _MAX_STRING_BYTES = 64 * 1024 * 1024
 _MAX_CONTAINER_ITEMS = 100_000
+_MAX_COPIED_BODY_BYTES = 64 * 1024
 DEFAULT_MAX_FRAME_BYTES = 4 * 1024 * 1024
 
 
@@ -108,6 +110,35 @@
     return _LENGTH_PREFIX.pack(len(data)) + data
 
 
+def encode_frame_parts(frame: "ttypes.Frame") -> list[bytes]:
+    """Encodes a frame, without a copy of a large body of a call or answer.
+
+    Returns:
+        The parts of the encoding, of which the body may be one.
+    """
+    message = frame.call or frame.answer
+    body = message.body if message is not None else None
+    if body is None or len(body) <= _MAX_COPIED_BODY_BYTES:
+        return [encode_frame(frame)]
+    # The encoding of a string is its length and its bytes. Encoding a random
+    # text in place of the body shows where it belongs.
+    marker = secrets.token_bytes(16)
+    message.body = marker
+    try:
+        data = encode_struct(frame)
+    finally:
+        message.body = body
+    start = data.index(marker)
+    end = start + len(marker)
+    size = len(data) - len(marker) + len(body)
+    head = (
+        _LENGTH_PREFIX.pack(size)
+        + data[: start - _LENGTH_PREFIX_BYTES]
+        + _LENGTH_PREFIX.pack(len(body))
+    )
+    return [head, body, data[end:]]
+
+
 class FrameDecoder:
     """Splits a byte stream into frames.
 
@@ -120,7 +151,7 @@
     def __init__(self, max_frame_bytes: int = DEFAULT_MAX_FRAME_BYTES) -> None:
         """Expects the first byte of a stream as the next input."""
         self.max_frame_bytes = max_frame_bytes
-        self._buffer = b""
+        self._buffer = bytearray()
         self._offset = 0
 
     @property
@@ -141,7 +172,11 @@
             FrameError: If a frame is malformed or too large. The decoder must
                 not be used afterwards.
         """
-        buffer = self._buffer + data if self._buffer else data
+        # Adding to a bytearray copies no earlier part of a large frame.
+        is_continued = bool(self._buffer)
+        if is_continued:
+            self._buffer += data
+        buffer = self._buffer if is_continued else data
         position = 0
         size = len(buffer)
         while size - position >= _LENGTH_PREFIX_BYTES:
@@ -159,17 +194,21 @@
             frame = self._decode_frame(buffer, position, end)
             position = end
             on_frame(frame)
-        self._buffer = buffer[position:]
+        if position == size:
+            self._buffer = bytearray()
+        elif not is_continued:
+            self._buffer = bytearray(memoryview(data)[position:])
+        elif position:
+            del self._buffer[:position]
         self._offset += position
 
     def _decode_frame(
-        self, buffer: bytes, start: int, end: int
+        self, buffer: bytes | bytearray, start: int, end: int
     ) -> "ttypes.Frame":
         offset = self._offset + start
+        data = bytes(memoryview(buffer)[start + _LENGTH_PREFIX_BYTES : end])
         try:
-            frame = decode_struct(
-                ttypes.Frame(), buffer[start + _LENGTH_PREFIX_BYTES : end]
-            )
+            frame = decode_struct(ttypes.Frame(), data)
             _validate_frame(frame)
         except FrameError as error:
             raise FrameError(error.reason, offset, str(error)) from error
--- a/packages/testing/radishtray_testing/memory_network.py
+++ b/packages/testing/radishtray_testing/memory_network.py
@@ -110,6 +110,7 @@
         self._received_while_paused: list[Callable[[], None]] = []
         self._is_paused = False
         self._held: list[Callable[[], None]] = []
+        self._pull_producer: Any = None
         self._last_arrival_s = 0.0
 
     @property
@@ -158,7 +159,10 @@
             self._send(data)
         if self._send_buffer and self.connected:
             self._reactor.callLater(_FLUSH_INTERVAL_S, self._flush)
-        elif self.disconnecting:
+            return
+        if self._pull_producer is not None and self.connected:
+            self._pull_producer.resumeProducing()
+        if self.disconnecting and not self._send_buffer:
             self._close(is_reset=False)
 
     def _send(self, data: bytes) -> None:
@@ -274,10 +278,17 @@
         self.loseConnection()
 
     def registerProducer(self, producer: object, streaming: bool) -> None:
-        """Does nothing: the send buffer is unbounded, so it never pauses."""
+        """Has a pull producer write whenever the send buffer is empty.
+
+        Push producers are never paused, since the send buffer is unbounded.
+        """
+        if not streaming:
+            self._pull_producer = producer
+            self._pull_producer.resumeProducing()
 
     def unregisterProducer(self) -> None:
-        """Does nothing, as `registerProducer` does."""
+        """Ends the writes of a pull producer."""
+        self._pull_producer = None
 
     def setTcpNoDelay(self, enabled: bool) -> None:
         """Does nothing: no Nagle's algorithm is simulated."""
--- a/packages/transport/radishtray_transport/__init__.py
+++ b/packages/transport/radishtray_transport/__init__.py
@@ -22,7 +22,12 @@
 )
 from radishtray_transport._http_request import HttpLimits, HttpRequest
 from radishtray_transport._http_server import HttpServer
-from radishtray_transport._large_bodies import FREE_BODY_BYTES, LargeBodyLimit
+from radishtray_transport._memory_account import (
+    SMALL_BODY_BYTES,
+    MemoryAccount,
+    MemoryPriority,
+    MemoryPurpose,
+)
 from radishtray_transport._node_connection import (
     UNTRACKED_EPOCH,
     ConnectionEvents,
@@ -48,8 +53,8 @@
 
 __all__ = [
     "ABSENT_VERSION",
-    "FREE_BODY_BYTES",
     "MAX_DATAGRAM_BYTES",
+    "SMALL_BODY_BYTES",
     "UNTRACKED_EPOCH",
     "Conflict",
     "ConnectionEvents",
@@ -63,8 +68,10 @@
     "HttpRequest",
     "HttpResponse",
     "HttpServer",
-    "LargeBodyLimit",
     "ListedObject",
+    "MemoryAccount",
+    "MemoryPriority",
+    "MemoryPurpose",
     "NodeConnection",
     "NodeIdentity",
     "NodeListener",
--- a/packages/transport/radishtray_transport/_direct_writer.py
+++ b/packages/transport/radishtray_transport/_direct_writer.py
@@ -25,6 +25,12 @@
         newest_bytes = int(self._transport._tempDataLen)
         return not (self._has_failed or self.unsent_bytes or newest_bytes)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that the transport holds in memory, also those just sent."""
+        transport = self._transport
+        return len(transport.dataBuffer) + int(transport._tempDataLen)
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that the transport is sending and the peer has not read."""
--- a/packages/transport/radishtray_transport/_http_channel.py
+++ b/packages/transport/radishtray_transport/_http_channel.py
@@ -4,6 +4,7 @@
 time (docs/design.md, section 9).
 """
 
+import itertools
 import logging
 from collections import deque
 from collections.abc import Callable
@@ -17,12 +18,17 @@
 from radishtray_transport._body_buffer import BodyBuffer
 from radishtray_transport._direct_writer import DirectWriter
 from radishtray_transport._http_request import HttpLimits, HttpRequest
-from radishtray_transport._large_bodies import FREE_BODY_BYTES, LargeBodyLimit
+from radishtray_transport._memory_account import (
+    MemoryAccount,
+    MemoryPurpose,
+)
+from radishtray_transport._request_intake import RequestIntake
 
 _LOG = logging.getLogger(__name__)
 _BAD_REQUEST = b"400 Bad Request"
 _REQUEST_TIMEOUT = b"408 Request Timeout"
 _HEAD_TOO_LARGE = b"431 Request Header Fields Too Large"
+_UNAVAILABLE = b"503 Service Unavailable"
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Allowed for each part of a body, for its chunk framing, in addition to the
 # head limit for all framing and trailers.
@@ -34,6 +40,24 @@
 _MAX_CONCURRENT_REQUESTS = 8
 
 
+# A client that sends the rest of its body has this long to read a rejection.
+_LINGER_S = 2.0
+# Idle time after which a connection may be closed for another one.
+_REPLACED_IDLE_S = 1.0
+# Time without progress after which a client that does not read its response is
+# ended while there is little room: the longest time budget that callers state.
+_TIGHT_UNREAD_S = 6.0
+# Seconds after which a rejected request may come again, in turn, so that they
+# do not come together.
+_RETRY_AFTER_S = itertools.cycle(
+    ("0.300", "0.600", "0.900", "0.400", "0.700", "1.000", "0.500", "0.800")
+)
+
+
+def _retry_after() -> str:
+    return next(_RETRY_AFTER_S)
+
+
 class ChannelOwner(TypingProtocol):
     """The listener that accepted a connection.
 
@@ -43,17 +67,30 @@
         handler: Called with each complete request.
         may_overlap: Whether a request may be handled while others on its
             connection that may do so as well have no response yet.
-        large_bodies: Limits the memory for large bodies of requests, from their
-            arrival until the response; None for no limit.
+        memory: Account of the memory for requests, from their arrival until
+            the response, and for responses that are not read; None for no
+            limit.
         on_rejected: Called with the reason for each rejected request.
+        budget_header: Header with a client's time budget in milliseconds.
     """
 
     reactor: IReactorTime
     limits: HttpLimits
     handler: Callable[[HttpRequest], None]
     may_overlap: Callable[[HttpRequest], bool]
-    large_bodies: LargeBodyLimit | None
+    memory: MemoryAccount | None
     on_rejected: Callable[[str], None]
+    budget_header: bytes
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether most of the connections are in use."""
+        ...
+
+    @property
+    def is_tight(self) -> bool:
+        """Whether slow clients are ended, to have room for others."""
+        ...
 
     def channel_opened(self, channel: "HttpChannel") -> None:
         """Adds a channel to the open connections."""
@@ -94,7 +131,15 @@
         self._is_closing = False
         self._is_dispatching = False
         self._is_reading_paused = False
-        self._waits_for_memory = False
+        self._intake = RequestIntake(
+            owner.memory,
+            owner.reactor.seconds,
+            self._resume_after_wait,
+            owner.budget_header,
+        )
+        self._owes_continue = False
+        # Time until which the rest of a rejected body is read and dropped.
+        self._lingers_until_s: float | None = None
         self._pending_rejection: tuple[bytes, str] | None = None
         self._is_closed = False
         self._request_started_s: float | None = None
@@ -102,11 +147,12 @@
         # what was unsent then.
         self._unread_since_s: float | None = None
         self._unsent_bytes = 0
-        self._idle_since_s = owner.reactor.seconds()
+        self.idle_since_s = owner.reactor.seconds()
 
     def connectionMade(self) -> None:
         """Prepares the transport and reports the channel to its owner."""
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = self._intake.read_bytes
         self.writer = DirectWriter(self.transport)
         self.transport.registerProducer(self, True)
         self._owner.channel_opened(self)
@@ -135,8 +181,20 @@
             and not self._is_parsing_head
         ):
             self._reject(_BAD_REQUEST, "malformed_request")
+        self._admit_incoming()
         self._dispatch()
 
+    def _admit_incoming(self) -> None:
+        """Takes memory for an incomplete request, or rejects it."""
+        request = self._incoming_request
+        if request is not None and not self._intake.admit(
+            request,
+            self._partial_head_bytes if self._is_parsing_head else 0,
+            self.limits.body_bytes,
+        ):
+            self._reject(_UNAVAILABLE, "no_memory")
+        self.transport.bufferSize = self._intake.read_bytes
+
     # Callbacks of the httptools parser.
 
     def on_message_begin(self) -> None:
@@ -144,6 +202,7 @@
         if self._parser is None:
             return
         self._incoming_request = HttpRequest(self)
+        self._intake.begin()
         self._is_parsing_head = True
         self._partial_head_bytes = 0
         self._request_started_s = self._owner.reactor.seconds()
@@ -198,7 +257,10 @@
             expect is not None and expect.lower() == b"100-continue"
         )
         if expects_continue and is_http_1_1 and not self._is_busy:
-            self.writer.write(_CONTINUE_RESPONSE)
+            if self._intake.expect_body(request, self.limits.body_bytes):
+                self.writer.write(_CONTINUE_RESPONSE)
+            else:
+                self._owes_continue = True
 
     def _ignore_upgrade(self, request: HttpRequest) -> None:
         """Handles a request with an Upgrade header as plain HTTP/1.1.
@@ -234,40 +296,29 @@
             self._body.clear()
         else:
             self._body.append(part)
-            if self._body.size > FREE_BODY_BYTES and not request.is_large:
-                self._take_memory(request)
-
-    def _take_memory(self, request: HttpRequest) -> None:
-        """Stops reading unless there is memory for the body of a request."""
-        request.is_large = True
-        limit = self._owner.large_bodies
-        if limit is None:
-            return
-        length = request.header(b"content-length")
-        size = self.limits.body_bytes if length is None else int(length)
-        self._waits_for_memory = not limit.take_or_wait(
-            request, size, self._resume_after_wait
-        )
+            self._intake.count_part(len(part))
 
     def _resume_after_wait(self) -> None:
-        self._waits_for_memory = False
-        if not self._is_closed:
-            self._pause_or_resume_reading()
-
-    def _release_memory(self, request: HttpRequest) -> None:
-        if request.is_large and self._owner.large_bodies is not None:
-            self._owner.large_bodies.release(request)
+        if self._is_closed:
+            return
+        if self._owes_continue:
+            self._owes_continue = False
+            self.writer.write(_CONTINUE_RESPONSE)
+        self._pause_or_resume_reading()
 
     def on_message_complete(self) -> None:
         """Queues the request, which is dispatched after the parser returns."""
         request = self._incoming_request
         self._incoming_request = None
         self._request_started_s = None
-        # The end of a body may arrive before there is memory for it.
-        self._waits_for_memory = False
+        self._owes_continue = False
         if request is None:
             return
         request.body = self._body.take()
+        if not self._intake.complete(request):
+            request.is_over_memory = True
+            request.body = b""
+        self._intake.begin()
         request.received_s = self._owner.reactor.seconds()
         self._queued_requests.append(request)
         if not request.is_persistent or self._is_closing:
@@ -290,6 +341,15 @@
             self._active_requests.append(request)
             now_s = self._owner.reactor.seconds()
             request.waited_s = now_s - request.received_s
+            if request.is_over_memory:
+                self._owner.on_rejected("no_memory")
+                request.is_persistent = False
+                request.respond(
+                    503,
+                    ["Retry-After", _retry_after()],
+                    b"no memory for the request; it has not run\n",
+                )
+                continue
             if request.is_too_large:
                 self._owner.on_rejected("body_too_large")
                 request.is_persistent = False
@@ -324,11 +384,15 @@
         )
 
     def _may_overlap(self, request: HttpRequest) -> bool:
-        return not request.is_too_large and self._owner.may_overlap(request)
+        return (
+            not request.is_too_large
+            and not request.is_over_memory
+            and self._owner.may_overlap(request)
+        )
 
     def _pause_or_resume_reading(self) -> None:
         must_pause = (
-            self._waits_for_memory
+            self._intake.is_waiting
             or len(self._queued_requests) >= _MAX_PIPELINED_REQUESTS
         )
         if must_pause == self._is_reading_paused:
@@ -352,6 +416,8 @@
             request = active.popleft()
             self._send_response(request)
             has_sent = True
+        if active:
+            self._count_unsent()
         if (
             has_sent
             and not self._is_closed
@@ -360,7 +426,7 @@
             self._dispatch()
 
     def _send_response(self, request: HttpRequest) -> None:
-        self._idle_since_s = self._owner.reactor.seconds()
+        self.idle_since_s = self._owner.reactor.seconds()
         if (
             self._is_closing
             and not self._is_busy
@@ -368,8 +434,11 @@
         ):
             request.is_persistent = False
         request.channel = None
-        self._release_memory(request)
-        self.writer.write(request.take_response())
+        self._intake.release(request)
+        response, large_body = request.take_response()
+        self.writer.write(response)
+        if large_body:
+            self.writer.write(large_body)
         if not request.is_persistent:
             self._close()
 
@@ -390,19 +459,38 @@
         request = self._incoming_request
         self._incoming_request = None
         if request is not None:
-            self._waits_for_memory = False
-            self._release_memory(request)
+            self._intake.release(request)
+            self._intake.begin()
+            self._body.clear()
 
     def _send_rejection(self) -> None:
         if self._is_closed or self._pending_rejection is None:
             return
         status, reason = self._pending_rejection
         self._owner.on_rejected(reason)
+        retry = b""
+        if status is _UNAVAILABLE:
+            retry = b"Retry-After: " + _retry_after().encode() + b"\r\n"
         self.writer.write(
-            b"HTTP/1.1 " + status + b"\r\nConnection: close\r\n"
+            b"HTTP/1.1 " + status + b"\r\n" + retry + b"Connection: close\r\n"
             b"Content-Length: 0\r\n\r\n"
         )
-        self._close()
+        if status is _UNAVAILABLE and not self._owner.is_crowded:
+            self._linger()
+        else:
+            self._close()
+
+    def _linger(self) -> None:
+        """Drops the rest of the body for a while, then closes.
+
+        If unread data were left, the client would receive a reset, perhaps
+        before it has read the response.
+        """
+        self._is_closed = True
+        self._lingers_until_s = self._owner.reactor.seconds() + _LINGER_S
+        if self._is_reading_paused:
+            self._is_reading_paused = False
+            self.transport.resumeProducing()
 
     # Calls of the transport (`IPushProducer`).
 
@@ -413,13 +501,42 @@
         requests that are dispatched.
         """
         self._unread_since_s = self._owner.reactor.seconds()
+        self._count_unsent()
+
+    def _count_unsent(self) -> None:
+        """Counts the responses that wait for the client or for earlier ones."""
+        memory = self._owner.memory
+        size = self.writer.held_bytes + sum(
+            request.response_bytes for request in self._active_requests
+        )
+        if memory is None or self._is_closed:
+            return
+        if size:
+            memory.charge(
+                self.writer,
+                size,
+                MemoryPurpose.UNREAD_RESPONSES,
+                None if self._unread_since_s is None else self._abort_unread,
+            )
+        else:
+            memory.release(self.writer)
+
+    def _abort_unread(self) -> None:
+        """Resets the connection of a client that does not read a response."""
+        self._owner.on_rejected("unread_response")
+        self.transport.abortConnection()
 
     def resumeProducing(self) -> None:
         """Sends what waits, after the client has read all before."""
         self._unread_since_s = None
+        self._release_unread()
         self.response_ready()
         self._dispatch()
 
+    def _release_unread(self) -> None:
+        if self._owner.memory is not None:
+            self._owner.memory.release(self.writer)
+
     def stopProducing(self) -> None:
         """Does nothing; `connectionLost` follows."""
 
@@ -432,20 +549,41 @@
         reset.
         """
         if self._has_stopped_reading(now_s):
-            self._owner.on_rejected("unread_response")
-            self.transport.abortConnection()
+            self._abort_unread()
             return
-        started_s = self._request_started_s
-        if started_s is not None and now_s - started_s > self.limits.request_s:
-            self._reject(_REQUEST_TIMEOUT, "slow_request")
-            self._dispatch()
+        if self._lingers_until_s is not None:
+            if now_s > self._lingers_until_s:
+                self.transport.abortConnection()
+            return
+        if self._request_started_s is not None:
+            self._enforce_arrival(now_s, now_s - self._request_started_s)
         elif (
             not self._is_busy
             and self._incoming_request is None
-            and (now_s - self._idle_since_s > self.limits.idle_s)
+            and (now_s - self.idle_since_s > self.limits.idle_s)
         ):
             self._close()
 
+    def _enforce_arrival(self, now_s: float, elapsed_s: float) -> None:
+        """Rejects a request that arrives too slowly or waits for too long."""
+        intake = self._intake
+        max_s = self.limits.request_s
+        if self._is_parsing_head:
+            max_s = min(max_s, self.limits.head_s)
+        if elapsed_s > max_s:
+            self._reject(_REQUEST_TIMEOUT, "slow_request")
+        elif intake.has_waited_long(now_s):
+            self._reject(_UNAVAILABLE, "no_memory")
+        elif (
+            not self._is_parsing_head
+            and intake.is_slow(now_s)
+            and self._owner.is_tight
+        ):
+            self._reject(_REQUEST_TIMEOUT, "slow_body")
+        else:
+            return
+        self._dispatch()
+
     def _has_stopped_reading(self, now_s: float) -> bool:
         """Returns whether the client has read nothing for too long."""
         if self._unread_since_s is None:
@@ -455,7 +593,31 @@
             # A slow client has read a part of a response.
             self._unsent_bytes = unsent_bytes
             self._unread_since_s = now_s
-        return now_s - self._unread_since_s > self.limits.request_s
+            if self._owner.memory is not None:
+                self._owner.memory.record_progress(self.writer)
+        max_s = self.limits.request_s
+        if self._owner.is_tight:
+            max_s = min(max_s, _TIGHT_UNREAD_S)
+        return now_s - self._unread_since_s > max_s
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection serves no more requests."""
+        return self._is_closed
+
+    def may_be_replaced(self, now_s: float) -> bool:
+        """Returns whether another connection may take the place of this one.
+
+        A client that has sent nothing for so long is not about to, as far as is
+        known.
+        """
+        return (
+            not self._is_closed
+            and not self._is_busy
+            and self._incoming_request is None
+            and self._unread_since_s is None
+            and now_s - self.idle_since_s > _REPLACED_IDLE_S
+        )
 
     def close_when_idle(self) -> None:
         """Closes now, or after the responses to all requests received.
@@ -474,7 +636,7 @@
         self._is_closed = True
         self._parser = None
         for request in self._queued_requests:
-            self._release_memory(request)
+            self._intake.release(request)
         self._queued_requests.clear()
         if self._unread_since_s is None:
             self._unread_since_s = self._owner.reactor.seconds()
@@ -487,10 +649,11 @@
         self._is_closed = True
         self._parser = None
         self._owner.channel_closed(self)
+        self._release_unread()
         self._drop_incoming_request()
         unanswered = [*self._active_requests, *self._queued_requests]
         self._active_requests.clear()
         self._queued_requests.clear()
         for request in unanswered:
-            self._release_memory(request)
+            self._intake.release(request)
             request.notify_disconnect()
--- a/packages/transport/radishtray_transport/_http_client.py
+++ b/packages/transport/radishtray_transport/_http_client.py
@@ -20,7 +20,10 @@
     ResponseFault,
     ResponseRules,
 )
-from radishtray_transport._large_bodies import LargeBodyLimit
+from radishtray_transport._memory_account import (
+    SMALL_BODY_BYTES,
+    MemoryAccount,
+)
 
 DEFAULT_MAX_BODY_BYTES = 2 * 1024 * 1024
 
@@ -46,8 +49,7 @@
     already sent.
 
     Attributes:
-        large_bodies: Limits the memory for large bodies that are being read;
-            None for no limit.
+        memory: Account for large bodies that are being read; None for no limit.
         max_body_bytes: Maximum size of a response body.
         max_connections: Maximum number of open connections; a lower one does
             not close those that are open.
@@ -69,10 +71,10 @@
         "_port",
         "_queued_requests",
         "_reactor",
-        "large_bodies",
         "max_body_bytes",
         "max_connections",
         "may_read_slowly",
+        "memory",
         "report_fault",
         "rules",
         "uses_keep_alive",
@@ -90,7 +92,7 @@
         *,
         uses_keep_alive: bool = False,
         may_read_slowly: bool = False,
-        large_bodies: LargeBodyLimit | None = None,
+        memory: MemoryAccount | None = None,
     ) -> None:
         """Configures a client; connections are opened on demand.
 
@@ -106,10 +108,10 @@
                 silent are ended.
             may_read_slowly: Whether a server that reads nothing for seconds is
                 not taken for silent.
-            large_bodies: Limits the memory for large bodies that are being
-                read; None for no limit.
+            memory: Account for large bodies that are being read; None for no
+                limit.
         """
-        self.large_bodies = large_bodies
+        self.memory = memory
         self.uses_keep_alive = uses_keep_alive
         self.may_read_slowly = may_read_slowly
         self.report_fault = on_fault
@@ -164,9 +166,15 @@
         for index in range(0, len(headers), 2):
             parts.append(f"{headers[index]}: {headers[index + 1]}\r\n")
         parts.append(f"Content-Length: {len(body)}\r\n\r\n")
-        data = "".join(parts).encode("latin-1") + body
+        data = "".join(parts).encode("latin-1")
+        large_body = body if len(body) > SMALL_BODY_BYTES else b""
         pending = PendingRequest(
-            data, method == "HEAD", on_response, on_failure, expected_request_id
+            data if large_body else data + body,
+            method == "HEAD",
+            on_response,
+            on_failure,
+            expected_request_id,
+            large_body,
         )
         connection = (
             None if self._is_closed else self._pop_idle_connection(pending)
--- a/packages/transport/radishtray_transport/_http_connection.py
+++ b/packages/transport/radishtray_transport/_http_connection.py
@@ -9,7 +9,6 @@
 from twisted.python.failure import Failure
 
 from radishtray_transport._body_buffer import BodyBuffer
-from radishtray_transport._direct_writer import DirectWriter
 from radishtray_transport._http_exchange import (
     HeaderList,
     HttpResponse,
@@ -19,7 +18,13 @@
     ResponseRules,
 )
 from radishtray_transport._keep_alive import enable_keep_alive
-from radishtray_transport._large_bodies import FREE_BODY_BYTES, LargeBodyLimit
+from radishtray_transport._memory_account import (
+    SMALL_BODY_BYTES,
+    MemoryAccount,
+    MemoryPriority,
+    MemoryPurpose,
+)
+from radishtray_transport._piece_writer import PieceWriter
 
 # Hop-by-hop headers and Content-Length are not part of the reported response.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -60,16 +65,15 @@
     Attributes:
         max_body_bytes: Maximum size of a response body.
         rules: How responses are read.
-        large_bodies: Limits the memory for large bodies that are being read;
-            None for no limit.
+        memory: Account for large bodies that are being read; None for no limit.
         uses_keep_alive: Whether silent connections are to be ended.
         may_read_slowly: Whether a server that reads nothing for seconds is not
             taken for silent.
     """
 
-    large_bodies: LargeBodyLimit | None
     max_body_bytes: int
     may_read_slowly: bool
+    memory: MemoryAccount | None
     rules: ResponseRules
     uses_keep_alive: bool
 
@@ -106,7 +110,7 @@
         self._id_header = pool.rules.request_id_header.encode("latin-1")
         self._idle_limit_s = pool.rules.idle_limit_s
         self._max_body_bytes = pool.max_body_bytes
-        self._large_bodies = pool.large_bodies
+        self._memory = pool.memory
         self._has_large_body = False
         self._is_reading_paused = False
         self._parser: HttpResponseParser | None = HttpResponseParser(self)
@@ -133,6 +137,7 @@
         self._end_large_body()
         self._is_parsing_head = True
         self._has_framing_header = False
+        self._stated_length: int | None = None
         self._reason_phrase = b""
         self._keep_alive = True
         self._is_close_delimited = False
@@ -165,7 +170,7 @@
             enable_keep_alive(
                 self.transport, limits_transit=not self._pool.may_read_slowly
             )
-        self._writer = DirectWriter(self.transport)
+        self._writer = PieceWriter(self.transport)
         self._pool.connection_opened(self)
 
     def send(self, pending: PendingRequest) -> None:
@@ -176,7 +181,10 @@
         self._pending = pending
         pending.attach(self)
         self._remember_id(pending.expected_request_id)
-        self._writer.write(pending.take_data())
+        data, body = pending.take_data()
+        self._writer.write(data)
+        if body:
+            self._writer.write(body)
 
     def _remember_id(self, request_id: str) -> None:
         if not request_id:
@@ -255,6 +263,8 @@
                 self._store_id(text.strip())
         elif lowered in _FRAMING_HEADERS:
             self._has_framing_header = True
+            if lowered == b"content-length" and value.strip().isdigit():
+                self._stated_length = int(value)
         elif lowered == b"keep-alive":
             self._apply_keep_alive_timeout(value)
 
@@ -350,15 +360,21 @@
         else:
             self._body.append(part)
 
-        if self._body.size > FREE_BODY_BYTES and not self._has_large_body:
+        if self._body.size > SMALL_BODY_BYTES and not self._has_large_body:
             self._begin_large_body()
 
     def _begin_large_body(self) -> None:
         """Stops reading unless there is memory for another large body."""
         self._has_large_body = True
-        limit = self._large_bodies
-        if limit is not None and not limit.take_or_wait(
-            self, self._max_body_bytes, self._resume_reading
+        size = self._max_body_bytes
+        if self._stated_length is not None:
+            size = min(size, self._stated_length)
+        if self._memory is not None and not self._memory.take_or_wait(
+            self,
+            size,
+            MemoryPurpose.UPSTREAM_RESPONSES,
+            MemoryPriority.LARGE,
+            self._resume_reading,
         ):
             self._is_reading_paused = True
             self.transport.pauseProducing()
@@ -370,9 +386,9 @@
 
     def _end_large_body(self) -> None:
         """Lets another large body be read, if this response had one."""
-        if self._has_large_body and self._large_bodies is not None:
+        if self._has_large_body and self._memory is not None:
             self._has_large_body = False
-            self._large_bodies.release(self)
+            self._memory.release(self)
             self._resume_reading()
 
     def on_message_complete(self) -> None:
@@ -418,6 +434,8 @@
             self._has_extra_bytes
             or self._dropped_other_response
             or is_unidentified
+            # Its request is still being sent.
+            or self._writer.queued_bytes
         ):
             self.abort()
         elif keep_alive:
--- a/packages/transport/radishtray_transport/_http_exchange.py
+++ b/packages/transport/radishtray_transport/_http_exchange.py
@@ -144,6 +144,7 @@
     """
 
     __slots__ = (
+        "_body",
         "_connection",
         "_data",
         "_on_failure",
@@ -159,20 +160,23 @@
         on_response: ResponseCallback,
         on_failure: FailureCallback,
         expected_request_id: str = "",
+        body: bytes = b"",
     ) -> None:
         """Creates a request that is not yet sent.
 
         Args:
-            data: The complete encoded request.
+            data: The encoded request, without `body`.
             is_head_request: Whether the method is HEAD, so that the response
                 has no body.
             on_response: Called with the response, at most once.
             on_failure: Called instead if there is no response.
             expected_request_id: Request id that the response must repeat if
                 the rules name a header for it; empty accepts any.
+            body: A large body, which is not copied.
         """
         self.expected_request_id = expected_request_id
         self._data = data
+        self._body = body
         self.is_head_request = is_head_request
         self._on_response: ResponseCallback | None = on_response
         self._on_failure: FailureCallback | None = on_failure
@@ -192,10 +196,11 @@
         """Sets the connection that carries the request."""
         self._connection = connection
 
-    def take_data(self) -> bytes:
-        """Returns the encoded request and keeps no copy of it."""
+    def take_data(self) -> tuple[bytes, bytes]:
+        """Returns the encoded request and a large body; keeps neither."""
         data, self._data = self._data, b""
-        return data
+        body, self._body = self._body, b""
+        return data, body
 
     def succeed(self, response: HttpResponse) -> None:
         """Reports the response unless the request is settled."""
@@ -209,6 +214,7 @@
         callback = self._on_failure
         if callback is not None:
             self._on_response = self._on_failure = None
+            self._body = b""
             callback(failure)
 
     def cancel(self) -> None:
--- a/packages/transport/radishtray_transport/_http_request.py
+++ b/packages/transport/radishtray_transport/_http_request.py
@@ -5,12 +5,17 @@
 from typing import TYPE_CHECKING
 
 from radishtray_transport._http_exchange import HeaderList
+from radishtray_transport._memory_account import SMALL_BODY_BYTES
 
 if TYPE_CHECKING:
     from radishtray_transport._http_channel import HttpChannel
 
 # Colon, space, CR and LF of a header line.
 _HEADER_OVERHEAD_BYTES = 4
+# Memory of a request and of each header besides their text, which is held as
+# received and as forwarded.
+_REQUEST_MEMORY_BYTES = 2000
+_HEADER_MEMORY_BYTES = 300
 _DROPPED_RESPONSE_HEADERS = frozenset(
     ("connection", "content-length", "transfer-encoding", "keep-alive")
 )
@@ -31,12 +36,14 @@
         idle_s: Seconds after the last response, or after the connection was
             accepted, before a connection without a request is closed.
         request_s: Seconds in which a complete request must arrive.
+        head_s: Seconds in which the head of a request must arrive.
     """
 
     __slots__ = (
         "body_bytes",
         "connections",
         "head_bytes",
+        "head_s",
         "headers",
         "idle_s",
         "request_s",
@@ -50,6 +57,7 @@
         connections: int = 4096,
         idle_s: float = 60.0,
         request_s: float = 10.0,
+        head_s: float = 10.0,
     ) -> None:
         """Validates the limits.
 
@@ -62,6 +70,7 @@
         self.connections = connections
         self.idle_s = idle_s
         self.request_s = request_s
+        self.head_s = head_s
         for name in self.__slots__:
             if getattr(self, name) <= 0:
                 raise ValueError(f"{name} must be positive")
@@ -82,7 +91,7 @@
             so far.
         trailer_count: Number of trailers, which are not part of `headers`.
         is_persistent: Whether the connection stays open after the response.
-        is_large: Whether the body counts toward the memory for large bodies.
+        is_over_memory: Whether there is no memory for the request.
         is_too_large: Whether the body exceeds the limit.
         received_s: Time of the reactor at which the request was complete.
         waited_s: Seconds for which it waited for requests before it.
@@ -95,7 +104,7 @@
         "channel",
         "head_bytes",
         "headers",
-        "is_large",
+        "is_over_memory",
         "is_persistent",
         "is_too_large",
         "method",
@@ -117,7 +126,7 @@
         self.head_bytes = 0
         self.trailer_count = 0
         self.is_persistent = True
-        self.is_large = False
+        self.is_over_memory = False
         self.is_too_large = False
         self.received_s = 0.0
         self.waited_s = 0.0
@@ -140,6 +149,20 @@
         """Returns the first value of a header; names are case-insensitive."""
         return self._first_values.get(name.lower())
 
+    @property
+    def head_memory_bytes(self) -> int:
+        """Memory that the request takes besides its body."""
+        return (
+            _REQUEST_MEMORY_BYTES
+            + 2 * self.head_bytes
+            + _HEADER_MEMORY_BYTES * len(self.headers)
+        )
+
+    def body_length(self, max_bytes: int) -> int:
+        """Returns the stated length of the body, or the largest one."""
+        length = self._first_values.get(b"content-length")
+        return max_bytes if length is None else min(int(length), max_bytes)
+
     @property
     def has_responded(self) -> bool:
         """Whether `respond` was called."""
@@ -163,9 +186,17 @@
         if self.channel is not None:
             self.channel.response_ready()
 
-    def take_response(self) -> bytes:
+    @property
+    def response_bytes(self) -> int:
+        """Size of the body of a response that has not been sent."""
+        return len(self._response[2]) if self._response is not None else 0
+
+    def take_response(self) -> tuple[bytes, bytes]:
         """Returns the encoded response and keeps no copy of its body.
 
+        Returns:
+            The response, and its body if that is large and thus not copied.
+
         Raises:
             ValueError: If `respond` was not called.
         """
@@ -182,7 +213,11 @@
             parts.append("Connection: close\r\n")
         parts.append(f"Content-Length: {len(body)}\r\n\r\n")
         head = "".join(parts).encode("latin-1", "replace")
-        return head if self.method == b"HEAD" else head + body
+        if self.method == b"HEAD":
+            return head, b""
+        if len(body) > SMALL_BODY_BYTES:
+            return head, body
+        return head + body, b""
 
     def notify_disconnect(self) -> None:
         """Calls `on_disconnect` if no response was sent."""
--- a/packages/transport/radishtray_transport/_node_connection.py
+++ b/packages/transport/radishtray_transport/_node_connection.py
@@ -29,11 +29,16 @@
     DEFAULT_MAX_FRAME_BYTES,
     FrameDecoder,
     FrameError,
-    encode_frame,
+    encode_frame_parts,
     encode_struct,
     wire,
 )
-from radishtray_transport._direct_writer import DirectWriter
+from radishtray_transport._memory_account import (
+    SMALL_BODY_BYTES,
+    MemoryAccount,
+    MemoryPurpose,
+)
+from radishtray_transport._piece_writer import PieceWriter
 
 _LOG = logging.getLogger(__name__)
 UNTRACKED_EPOCH = 0
@@ -107,6 +112,7 @@
         is_initiator: bool,
         events: "ConnectionEvents",
         max_frame_bytes: int = DEFAULT_MAX_FRAME_BYTES,
+        memory: MemoryAccount | None = None,
     ) -> None:
         """Creates the protocol of a connection that is not yet open.
 
@@ -120,7 +126,10 @@
             events: Receives the events of the connection.
             max_frame_bytes: Maximum size of a received frame after the
                 handshake.
+            memory: Account of the memory for incomplete and unsent frames; None
+                for no limit.
         """
+        self._memory = memory
         self.peer: wire.Hello | None = None
         self._reactor = reactor
         self._signer = signer
@@ -169,7 +178,7 @@
             self.transport.abortConnection()
             return
         self.transport.setTcpNoDelay(True)
-        self._writer = DirectWriter(self.transport)
+        self._writer = PieceWriter(self.transport, self._count_unsent_frames)
         self._handshake_timer = self._reactor.callLater(
             _HANDSHAKE_TIMEOUT_S, self._reject, "handshake_timeout"
         )
@@ -177,7 +186,8 @@
 
     def send(self, frame: wire.Frame) -> None:
         """Encodes and sends a frame."""
-        self._writer.write(encode_frame(frame))
+        for part in encode_frame_parts(frame):
+            self._writer.write(part)
 
     def dataReceived(self, data: bytes) -> None:
         """Decodes and handles received frames."""
@@ -189,8 +199,35 @@
                 extra={"error": str(error)},
             )
             self._reject(f"frame_{error.reason}")
+        self._count_incomplete_frame()
         self._events.read_finished(self)
 
+    def _count_incomplete_frame(self) -> None:
+        if self._memory is None:
+            return
+        size = self._decoder.buffered_bytes
+        if size > SMALL_BODY_BYTES:
+            self._memory.charge(self._decoder, size, MemoryPurpose.NODE_QUEUES)
+        else:
+            self._memory.release(self._decoder)
+
+    def _count_unsent_frames(self, size: int) -> None:
+        """Counts the frames in the queue; further ones are still accepted.
+
+        The admission of requests and calls bounds them.
+        """
+        if self._memory is None:
+            return
+        if size > SMALL_BODY_BYTES:
+            purpose = (
+                MemoryPurpose.NODE_QUEUES
+                if self._is_initiator
+                else MemoryPurpose.NODE_ANSWERS
+            )
+            self._memory.charge(self, size, purpose)
+        else:
+            self._memory.release(self)
+
     def _handle_frame(self, frame: wire.Frame) -> None:
         if not self._is_closed:
             self._frame_handler(frame)
@@ -269,6 +306,9 @@
         """Reports that the connection is closed."""
         self._is_closed = True
         self._cancel_handshake_timer()
+        if self._memory is not None:
+            self._memory.release(self)
+            self._memory.release(self._decoder)
         self._events.connection_lost(self)
 
 
@@ -342,6 +382,7 @@
     signer: Signer,
     events: ConnectionEvents,
     timeout_s: float = 3.0,
+    memory: MemoryAccount | None = None,
 ) -> NodeConnection:
     """Opens a connection to another node.
 
@@ -354,11 +395,14 @@
         signer: Cluster keys.
         events: Receives the events of the connection.
         timeout_s: Seconds to wait for the TCP connection.
+        memory: Account of the memory for frames; None for no limit.
 
     Returns:
         The connection, which is not yet open or authenticated.
     """
-    connection = NodeConnection(reactor, identity, epoch, signer, True, events)
+    connection = NodeConnection(
+        reactor, identity, epoch, signer, True, events, memory=memory
+    )
     reactor.connectTCP(
         *address, _InitiatorFactory(connection, events), timeout=timeout_s
     )
@@ -376,8 +420,10 @@
         "_connections",
         "_events",
         "_factory",
+        "_half_open",
         "_identity",
         "_max_connections",
+        "_memory",
         "_port",
         "_reactor",
         "_signer",
@@ -390,14 +436,18 @@
         signer: Signer,
         events: ConnectionEvents,
         max_connections: int = 8192,
+        memory: MemoryAccount | None = None,
     ) -> None:
         """Configures a listener; `start` opens it."""
+        self._memory = memory
         self._reactor = reactor
         self._identity = identity
         self._signer = signer
         self._events = events
         self._max_connections = max_connections
-        self._connections: set[NodeConnection] = set()
+        # A dict keeps them in the order in which they were accepted.
+        self._connections: dict[NodeConnection, None] = {}
+        self._half_open: dict[NodeConnection, None] = {}
         self._factory = _AcceptorFactory(self)
         self._port: IListeningPort | None = None
 
@@ -427,18 +477,35 @@
             connection.close()
 
     def accept_connection(self) -> NodeConnection | None:
-        """Creates the protocol of a new connection, or None at the limit."""
+        """Creates the protocol of a new connection, or None at the limit.
+
+        Of those that are not verified, the oldest is closed for a new one
+        beyond half of the limit, so that they keep out no node.
+        """
+        if len(self._half_open) >= max(1, self._max_connections // 2):
+            self._events.connection_rejected("too_many_half_open")
+            oldest = next(iter(self._half_open))
+            del self._half_open[oldest]
+            oldest.abort()
         if len(self._connections) >= self._max_connections:
             self._events.connection_rejected("too_many_connections")
             return None
         connection = NodeConnection(
-            self._reactor, self._identity, 0, self._signer, False, self
+            self._reactor,
+            self._identity,
+            0,
+            self._signer,
+            False,
+            self,
+            memory=self._memory,
         )
-        self._connections.add(connection)
+        self._connections[connection] = None
+        self._half_open[connection] = None
         return connection
 
     def connection_ready(self, connection: NodeConnection) -> None:
-        """Forwards the event."""
+        """Counts the connection as verified and forwards the event."""
+        self._half_open.pop(connection, None)
         self._events.connection_ready(connection)
 
     def frame_received(
@@ -461,7 +528,8 @@
 
     def connection_lost(self, connection: NodeConnection) -> None:
         """Removes the connection and forwards the event."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
+        self._half_open.pop(connection, None)
         self._events.connection_lost(connection)
 
     def connection_failed(
