--- a/packages/protocol/radishtray_protocol/tests/test_frames.py
+++ b/packages/protocol/radishtray_protocol/tests/test_frames.py
@@ -14,6 +14,7 @@
     FrameDecoder,
     FrameError,
     encode_frame,
+    encode_frame_parts,
     encode_struct,
     wire,
 )
@@ -175,3 +176,21 @@
             decode(text)
         except FrameError:
             continue
+
+
+@pytest.mark.parametrize("size", [0, 100, 65_536, 65_537, 1_000_000])
+@pytest.mark.parametrize("is_call", [True, False])
+def test_parts_are_the_same_encoding_without_a_copy_of_a_large_body(
+    is_call: bool, size: int
+) -> None:
+    body = b"x" * size
+    answer = build_answer()
+    answer.body = body
+    frame = (
+        wire.Frame(call=build_call(body=body))
+        if is_call
+        else wire.Frame(answer=answer)
+    )
+    parts = encode_frame_parts(frame)
+    assert b"".join(parts) == encode_frame(frame)
+    assert (len(parts) == 3 and parts[1] is body) == (size > 65_536)
