--- a/packages/node/radishtray_node/_peer_link.py
+++ b/packages/node/radishtray_node/_peer_link.py
@@ -23,6 +23,7 @@
 )
 from radishtray_transport import (
     CompressionTotals,
+    MemoryAccount,
     NodeConnection,
     NodeIdentity,
     Signer,
@@ -73,6 +74,7 @@
         "_is_control_unconfirmed",
         "_last_call_sent_s",
         "_liveness",
+        "_memory",
         "_on_control",
         "_on_process_ended",
         "_on_rejected",
@@ -100,6 +102,7 @@
         on_rejected: Callable[[str], None],
         on_process_ended: ProcessEndedCallback = lambda _calls, _inc: None,
         compression: CompressionTotals | None = None,
+        memory: MemoryAccount | None = None,
     ) -> None:
         """Prepares a link; it connects with the first frame.
 
@@ -119,7 +122,9 @@
                 answered some calls, with these calls and its incarnation.
             compression: Totals of compressed bytes; None to send and read no
                 compressed frames.
+            memory: Account of the memory for unsent frames; None for no limit.
         """
+        self._memory = memory
         self.address = address
         self._reactor = reactor
         self._timers = timers
@@ -333,6 +338,7 @@
             self._signer,
             self,
             compression=self._compression,
+            memory=self._memory,
         )
 
     def _await_connection(self, connection: NodeConnection) -> None:
--- a/packages/protocol/radishtray_protocol/__init__.py
+++ b/packages/protocol/radishtray_protocol/__init__.py
@@ -38,6 +38,7 @@
     decode_struct,
     encode_compressed_frame,
     encode_frame,
+    encode_frame_parts,
     encode_struct,
 )
 from radishtray_protocol._gen import ttypes as wire
@@ -135,6 +136,7 @@
     "decode_struct",
     "encode_compressed_frame",
     "encode_frame",
+    "encode_frame_parts",
     "encode_lease",
     "encode_routes",
     "encode_seeds",
