--- a/packages/overload/radishtray_overload/_capacity.py
+++ b/packages/overload/radishtray_overload/_capacity.py
@@ -14,6 +14,7 @@
 from radishtray_overload._capacity_window import CapacityWindow, WindowResult
 from radishtray_overload._concurrency_bins import ConcurrencyBins
 from radishtray_overload._kind_costs import KindCosts
+from radishtray_overload._trial_interval import TrialInterval
 from radishtray_state import ObservedRun
 
 # Share of the slots below which the limit is not lowered.
@@ -47,10 +48,9 @@
 _FIRST_STEP_SHARE = 0.1
 _MAX_STEP_SHARE = 0.25
 # A raise must show this share of the throughput known at the present limit,
-# which follows a lower one with this time constant.
+# which changes with this time constant.
 _REFERENCE_SHARE = 0.9
 _REFERENCE_TIME_CONSTANT_S = 5.0
-_REFERENCE_GAIN_WEIGHT = 0.2
 # A trial shows that the upstream has become slower at all concurrencies if its
 # speed is below the expected one by this many standard errors.
 _SLOWER_ERRORS = 2.0
@@ -59,7 +59,7 @@
 _EARLY_ERRORS = 2.0
 # Intervals between trials; they grow by this factor after each trial without
 # result. A rejected raise costs throughput, also while it is measured.
-_INTERVAL_FACTOR = 2.0
+_LOWER_INTERVAL_FACTOR = 2.0
 _RAISE_INTERVAL_FACTOR = 4.0
 _EXPLORATION_INTERVAL_FACTOR = 4.0
 # Shortest interval between rejected raises, in mean service times of the raise.
@@ -67,7 +67,7 @@
 _RAISE_SERVICE_TIMES = 30.0
 _FIRST_INTERVAL_S = 0.25
 _FIRST_RAISE_S = 0.1
-_MAX_RAISE_INTERVAL_S = 4.0
+_MAX_RAISE_INTERVAL_S = 2.5
 _MAX_LOWER_INTERVAL_S = 8.0
 
 
@@ -88,38 +88,6 @@
 _EARLY_PHASES = frozenset((_Phase.LOWERED, _Phase.RAISED))
 
 
-class _Interval:
-    """Time between trials, which grows after each trial without result."""
-
-    __slots__ = ("_factor", "_first_s", "_interval_s", "_max_s", "_next_s")
-
-    def __init__(
-        self, first_s: float, max_s: float, factor: float = _INTERVAL_FACTOR
-    ) -> None:
-        self._factor = factor
-        self._first_s = first_s
-        self._max_s = max_s
-        self._interval_s = first_s
-        self._next_s = 0.0
-
-    def is_due(self, now_s: float) -> bool:
-        return now_s >= self._next_s
-
-    def restart(self, now_s: float) -> None:
-        self._interval_s = self._first_s
-        self._next_s = now_s + self._interval_s
-
-    def repeat(self, now_s: float) -> None:
-        self._next_s = now_s + self._interval_s
-
-    def back_off(self, now_s: float, shortest_s: float = 0.0) -> None:
-        self._interval_s = max(self._interval_s, shortest_s)
-        self._next_s = now_s + self._interval_s
-        self._interval_s = max(
-            min(self._factor * self._interval_s, self._max_s), shortest_s
-        )
-
-
 class LearnedCapacity:
     """Learns how many concurrent requests an upstream handles well.
 
@@ -184,11 +152,13 @@
         self._step = self._first_step
         self._suspected_since_s: float | None = None
         self._expected_speed: float | None = None
-        self._lowering = _Interval(_FIRST_INTERVAL_S, _MAX_LOWER_INTERVAL_S)
-        self._raising = _Interval(
+        self._lowering = TrialInterval(
+            _FIRST_INTERVAL_S, _MAX_LOWER_INTERVAL_S, _LOWER_INTERVAL_FACTOR
+        )
+        self._raising = TrialInterval(
             _FIRST_RAISE_S, _MAX_RAISE_INTERVAL_S, _RAISE_INTERVAL_FACTOR
         )
-        self._exploring = _Interval(
+        self._exploring = TrialInterval(
             _FIRST_EXPLORATION_S,
             _MAX_EXPLORATION_S,
             _EXPLORATION_INTERVAL_FACTOR,
@@ -196,7 +166,7 @@
 
     @property
     def _first_step(self) -> int:
-        return max(1, int(self._slots * _FIRST_STEP_SHARE))
+        return max(1, round(self._slots * _FIRST_STEP_SHARE))
 
     @property
     def slots(self) -> int:
@@ -304,13 +274,11 @@
     def _update_reference(self, result: WindowResult, now_s: float) -> None:
         """Updates the throughput that a raise is compared with.
 
-        It follows a lower throughput slowly: during noise any limit looks
-        better than the one before it as soon as the noise ends.
+        It changes slowly: as soon as noise ends, any limit looks better than
+        the one before it.
         """
         elapsed_s = now_s - self._reference_s
         weight = 1 - exp(-elapsed_s / _REFERENCE_TIME_CONSTANT_S)
-        if result.throughput > self._reference:
-            weight = _REFERENCE_GAIN_WEIGHT
         self._reference += weight * (result.throughput - self._reference)
         self._reference_s = now_s
 
@@ -392,7 +360,9 @@
             self._reject_lower(self._trial, now_s)
             return
         self._learned = self._trial.limit
-        self._reference = self._trial.throughput
+        # A trial that is adopted has more often shown too much than too little.
+        trial_error = self._trial.relative_error
+        self._reference = self._trial.throughput * (1 - trial_error)
         self._reference_s = now_s
         self._step = self._first_step
         self._suspected_since_s = None
--- a/packages/overload/radishtray_overload/_capacity_window.py
+++ b/packages/overload/radishtray_overload/_capacity_window.py
@@ -116,7 +116,10 @@
 
     def is_complete(self, now_s: float) -> bool:
         """Returns whether the window is long enough for its throughput."""
-        if self._effective_runs < self._required_runs:
+        if (
+            self._ended < self._required_runs
+            or self._effective_runs < self._required_runs
+        ):
             return False
         length_s = now_s - self.start_s
         mean_s = self._total_slot_s(now_s) / self._ended
@@ -146,8 +149,10 @@
     def is_expired(self, now_s: float) -> bool:
         """Returns whether the window has lasted too long for a comparison."""
         length_s = now_s - self.start_s
-        if length_s <= _MAX_LENGTH_S or not self._ended:
-            return length_s > _MAX_LENGTH_S
+        if length_s <= _MAX_LENGTH_S:
+            return False
+        if not self._ended:
+            return True
         mean_s = self._total_slot_s(now_s) / self._ended
         max_s = min(_MAX_MEAN_SERVICE_TIMES * mean_s, _LONGEST_S)
         return length_s > max_s
