Split the server connection: backlog of responses, interface of its owner

What a client has not read is counted and timed by ResponseBacklog; ChannelOwner has a module of its own.

--- a/packages/transport/radishtray_transport/_http_channel.py
+++ b/packages/transport/radishtray_transport/_http_channel.py
@@ -7,22 +7,17 @@
 import itertools
 import logging
 from collections import deque
-from collections.abc import Callable
-from typing import Protocol as TypingProtocol
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
-from twisted.internet.interfaces import IReactorTime
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from radishtray_transport._body_buffer import BodyBuffer
+from radishtray_transport._channel_owner import ChannelOwner
 from radishtray_transport._direct_writer import DirectWriter
-from radishtray_transport._http_request import HttpLimits, HttpRequest
-from radishtray_transport._memory_account import (
-    MemoryAccount,
-    MemoryPurpose,
-)
+from radishtray_transport._http_request import HttpRequest
 from radishtray_transport._request_intake import RequestIntake
+from radishtray_transport._response_backlog import ResponseBacklog
 
 _LOG = logging.getLogger(__name__)
 _BAD_REQUEST = b"400 Bad Request"
@@ -58,49 +53,6 @@
     return next(_RETRY_AFTER_S)
 
 
-class ChannelOwner(TypingProtocol):
-    """The listener that accepted a connection.
-
-    Attributes:
-        reactor: Source of time.
-        limits: Limits of the listener.
-        handler: Called with each complete request.
-        may_overlap: Whether a request may be handled while others on its
-            connection that may do so as well have no response yet.
-        memory: Account of the memory for requests, from their arrival until
-            the response, and for responses that are not read; None for no
-            limit.
-        on_rejected: Called with the reason for each rejected request.
-        budget_header: Header with a client's time budget in milliseconds.
-    """
-
-    reactor: IReactorTime
-    limits: HttpLimits
-    handler: Callable[[HttpRequest], None]
-    may_overlap: Callable[[HttpRequest], bool]
-    memory: MemoryAccount | None
-    on_rejected: Callable[[str], None]
-    budget_header: bytes
-
-    @property
-    def is_crowded(self) -> bool:
-        """Whether most of the connections are in use."""
-        ...
-
-    @property
-    def is_tight(self) -> bool:
-        """Whether slow clients are ended, to have room for others."""
-        ...
-
-    def channel_opened(self, channel: "HttpChannel") -> None:
-        """Adds a channel to the open connections."""
-        ...
-
-    def channel_closed(self, channel: "HttpChannel") -> None:
-        """Removes a channel from the open connections."""
-        ...
-
-
 class HttpChannel(Protocol):
     """One accepted connection.
 
@@ -143,10 +95,6 @@
         self._pending_rejection: tuple[bytes, str] | None = None
         self._is_closed = False
         self._request_started_s: float | None = None
-        # Time since which the client has read nothing of its responses, and
-        # what was unsent then.
-        self._unread_since_s: float | None = None
-        self._unsent_bytes = 0
         self.idle_since_s = owner.reactor.seconds()
 
     def connectionMade(self) -> None:
@@ -154,6 +102,9 @@
         self.transport.setTcpNoDelay(True)
         self.transport.bufferSize = self._intake.read_bytes
         self.writer = DirectWriter(self.transport)
+        self._backlog = ResponseBacklog(
+            self._owner.memory, self.writer, self._abort_unread
+        )
         self.transport.registerProducer(self, True)
         self._owner.channel_opened(self)
 
@@ -371,7 +322,7 @@
         if (
             self._is_closed
             or not self._queued_requests
-            or self._unread_since_s is not None
+            or self._backlog.is_unread
         ):
             return False
         active = self._active_requests
@@ -411,7 +362,7 @@
             active
             and active[0].has_responded
             and not self._is_closed
-            and self._unread_since_s is None
+            and not self._backlog.is_unread
         ):
             request = active.popleft()
             self._send_response(request)
@@ -500,26 +451,15 @@
         The memory that a slow client takes is bounded by the responses to the
         requests that are dispatched.
         """
-        self._unread_since_s = self._owner.reactor.seconds()
+        self._backlog.begin(self._owner.reactor.seconds())
         self._count_unsent()
 
     def _count_unsent(self) -> None:
         """Counts the responses that wait for the client or for earlier ones."""
-        memory = self._owner.memory
-        size = self.writer.held_bytes + sum(
-            request.response_bytes for request in self._active_requests
-        )
-        if memory is None or self._is_closed:
-            return
-        if size:
-            memory.charge(
-                self.writer,
-                size,
-                MemoryPurpose.UNREAD_RESPONSES,
-                None if self._unread_since_s is None else self._abort_unread,
+        if not self._is_closed:
+            self._backlog.count(
+                sum(r.response_bytes for r in self._active_requests)
             )
-        else:
-            memory.release(self.writer)
 
     def _abort_unread(self) -> None:
         """Resets the connection of a client that does not read a response."""
@@ -528,15 +468,10 @@
 
     def resumeProducing(self) -> None:
         """Sends what waits, after the client has read all before."""
-        self._unread_since_s = None
-        self._release_unread()
+        self._backlog.end()
         self.response_ready()
         self._dispatch()
 
-    def _release_unread(self) -> None:
-        if self._owner.memory is not None:
-            self._owner.memory.release(self.writer)
-
     def stopProducing(self) -> None:
         """Does nothing; `connectionLost` follows."""
 
@@ -548,7 +483,10 @@
         A connection whose client reads nothing of its responses for as long is
         reset.
         """
-        if self._has_stopped_reading(now_s):
+        max_unread_s = self.limits.request_s
+        if self._owner.is_tight:
+            max_unread_s = min(max_unread_s, _TIGHT_UNREAD_S)
+        if self._backlog.has_stopped(now_s, max_unread_s):
             self._abort_unread()
             return
         if self._lingers_until_s is not None:
@@ -584,22 +522,6 @@
             return
         self._dispatch()
 
-    def _has_stopped_reading(self, now_s: float) -> bool:
-        """Returns whether the client has read nothing for too long."""
-        if self._unread_since_s is None:
-            return False
-        unsent_bytes = self.writer.unsent_bytes
-        if unsent_bytes != self._unsent_bytes:
-            # A slow client has read a part of a response.
-            self._unsent_bytes = unsent_bytes
-            self._unread_since_s = now_s
-            if self._owner.memory is not None:
-                self._owner.memory.record_progress(self.writer)
-        max_s = self.limits.request_s
-        if self._owner.is_tight:
-            max_s = min(max_s, _TIGHT_UNREAD_S)
-        return now_s - self._unread_since_s > max_s
-
     @property
     def is_closed(self) -> bool:
         """Whether the connection serves no more requests."""
@@ -615,7 +537,7 @@
             not self._is_closed
             and not self._is_busy
             and self._incoming_request is None
-            and self._unread_since_s is None
+            and not self._backlog.is_unread
             and now_s - self.idle_since_s > _REPLACED_IDLE_S
         )
 
@@ -638,8 +560,8 @@
         for request in self._queued_requests:
             self._intake.release(request)
         self._queued_requests.clear()
-        if self._unread_since_s is None:
-            self._unread_since_s = self._owner.reactor.seconds()
+        if not self._backlog.is_unread:
+            self._backlog.begin(self._owner.reactor.seconds())
         # A transport with a producer does not close by itself.
         self.transport.unregisterProducer()
         self.transport.loseConnection()
@@ -649,7 +571,7 @@
         self._is_closed = True
         self._parser = None
         self._owner.channel_closed(self)
-        self._release_unread()
+        self._backlog.release()
         self._drop_incoming_request()
         unanswered = [*self._active_requests, *self._queued_requests]
         self._active_requests.clear()
