--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -22,6 +22,7 @@
 from radishtray_node._capacity_monitor import CapacityMonitor
 from radishtray_node._compression_metrics import add_compression_gauge
 from radishtray_node._crash_blocklist import CrashBlocklist
+from radishtray_node._crash_exchange import CrashExchange
 from radishtray_node._decision_log import DecisionLog
 from radishtray_node._entry_decisions import EntryDecisions
 from radishtray_node._features import Feature
@@ -51,9 +52,7 @@
     ArrivalBudget,
     AttemptSequence,
     Clock,
-    CrashSuspect,
     CrashTally,
-    EndedProcesses,
     KeyOwner,
     KeyRouter,
     MemberRecord,
@@ -123,8 +122,8 @@
         "_arrival_budget",
         "_compression",
         "_configuration",
+        "_crashes",
         "_decode_table",
-        "_ended_processes",
         "_fleet",
         "_fleet_size",
         "_is_draining",
@@ -194,7 +193,12 @@
         self._stop_deadline_s = 0.0
         self._fleet: Fleet | None = None
         self._configuration: RouteConfigurationDriver | None = None
-        self._ended_processes = EndedProcesses()
+        self._crashes = CrashExchange(
+            self.crash_tally,
+            settings.node_id,
+            lambda: self.fleet,
+            self.send_control,
+        )
         self._fleet_size = HeldMaximum(clock, _FLEET_SIZE_HOLD_S)
         self._service_size = HeldMaximum(clock, _FLEET_SIZE_HOLD_S)
         self._limits = ProcessLimits(
@@ -533,26 +537,7 @@
 
     def upstream_announced(self, member: MemberRecord) -> None:
         """Retracts the crashes of earlier processes that it has survived."""
-        for crash_id in self._ended_processes.announce(
-            member.node_id, member.incarnation, member.upstream_digest
-        ):
-            self._retract_crash(crash_id, member.node_id)
-
-    def _on_peer_verified(self, node_id: str, incarnation: int) -> None:
-        """Retracts the crash of a process that has not ended."""
-        crash_id = self._ended_processes.disprove(node_id, incarnation)
-        if crash_id is not None:
-            self._retract_crash(crash_id, node_id)
-
-    def _retract_crash(self, crash_id: int, node_id: str) -> None:
-        changed = self.crash_tally.retract(crash_id)
-        _LOG.info(
-            "upstream has survived what was counted as its crash; retracting",
-            extra={"peer": node_id, "contents": len(changed)},
-        )
-        member = self.fleet.membership.get(node_id)
-        if member is not None:
-            self._send_crashes(changed, member.service_name)
+        self._crashes.upstream_announced(member)
 
     def send_control(self, node_id: str, frame: wire.Frame) -> bool:
         """Sends a control frame; False if the node has no address."""
@@ -567,15 +552,7 @@
         elif frame.release_pull is not None:
             connection.send(self.fleet.answer_release_pull(frame.release_pull))
         elif frame.crash_suspects is not None:
-            self.crash_tally.merge(
-                CrashSuspect(
-                    suspect.fingerprint,
-                    suspect.crashes,
-                    suspect.ttl_ms / _MS_PER_S,
-                    tuple(suspect.crash_ids or ()),
-                )
-                for suspect in frame.crash_suspects.suspects
-            )
+            self._crashes.merge(frame.crash_suspects.suspects)
 
     def _on_link_control(self, frame: wire.Frame) -> None:
         """Handles the replies to the frames of organisations."""
@@ -595,38 +572,17 @@
             self.attempt_sequence,
             self.settings.cluster_keys,
             self._on_link_control,
-            self._on_peer_verified,
+            self._crashes.process_verified,
             lambda reason: self.metrics.rejected_connections.labels(
                 reason
             ).inc(),
-            lambda calls, incarnation: self._on_process_ended(
+            lambda calls, incarnation: self._crashes.process_ended(
                 node_id, calls, incarnation
             ),
             memory=self._limits.account,
             compression=None if is_same_domain else self._compression,
         )
 
-    def _on_process_ended(
-        self, node_id: str, calls: list[wire.Call], incarnation: int
-    ) -> None:
-        """Counts a crash against the calls of a node's process that has ended.
-
-        The crash of an upstream may end the node beside it too, so that only
-        the senders can count it.
-        """
-        crash_id = self._ended_processes.record(node_id, incarnation)
-        if crash_id is None:
-            return
-        _LOG.warning(
-            "node has ended; counting a crash against the requests that were "
-            "running there",
-            extra={"peer": node_id, "requests": len(calls)},
-        )
-        changed = self.crash_tally.record_process_end(
-            (call.context.fingerprint for call in calls), crash_id
-        )
-        self._send_crashes(changed, calls[0].service_name)
-
     # The upstream.
 
     def accept_report(self, report: UpstreamReport) -> ReportVerdict:
@@ -677,7 +633,7 @@
             "running"
         )
         changed = self._upstream_server.handle_upstream_crash()
-        self._send_crashes(changed, self.settings.service)
+        self._crashes.announce(changed, self.settings.service)
 
     def _is_crash_prober(self, fingerprint: int) -> bool:
         live = (
@@ -687,30 +643,6 @@
         )
         return suspect_host(fingerprint, live) == self.settings.node_id
 
-    def _send_crashes(self, changed: list[CrashSuspect], service: str) -> None:
-        """Tells the nodes of a service, where the requests may go next.
-
-        Gossip takes seconds to carry the entries of one crash.
-        """
-        if not changed:
-            return
-        frame = wire.Frame(
-            crash_suspects=wire.CrashSuspects(
-                suspects=[
-                    wire.CrashSuspect(
-                        fingerprint=suspect.fingerprint,
-                        crashes=suspect.crashes,
-                        ttl_ms=int(suspect.ttl_s * _MS_PER_S),
-                        crash_ids=list(suspect.crash_ids),
-                    )
-                    for suspect in changed
-                ]
-            )
-        )
-        for node_id in self.fleet.live_nodes(service):
-            if node_id != self.settings.node_id:
-                self.send_control(node_id, frame)
-
     # Listeners.
 
     def _answer_readiness(self, http: HttpRequest) -> None:
