--- a/packages/testing/radishtray_testing/_reference_texts.py
+++ b/packages/testing/radishtray_testing/_reference_texts.py
@@ -95,10 +95,13 @@
     "body_too_large": "Answered 413; see `--max-body-bytes`.",
     "head_too_large": "Answered 431; the head exceeds `--max-head-bytes` or 100 headers.",
     "malformed_request": "Answered 400; not HTTP/1.1.",
+    "no_memory": "Answered 503 with Retry-After, forwarding by route only: there was no memory for the request, which has not run; see `OPERATIONS.md`.",
+    "slow_body": "Answered 408: while room was short, the body arrived at less than 1 KiB/s for 6 s.",
     "slow_request": "Answered 408; the request did not arrive within `--request-time`.",
     "too_many_connections": "The connection was closed at once; see `--max-connections`.",
     "unauthorized": "Answered 401; the operators' listener got another token.",
-    "unread_response": "The connection was reset; its client left responses unread for `--request-time`.",
+    "unread_response": "The connection was reset; its client left responses unread for `--request-time`, or for 6 s while room was short.",
+    "unused_connection": "The connection was closed for a new one; it had no request for over 1 s.",
 }  # fmt: skip
 
 CONNECTION_REASON_TEXTS: Final = {
@@ -109,6 +112,7 @@
     "handshake_timeout": "The peer did not authenticate within 5 s; it may be paused or overloaded.",
     "handshake_invalid": "The first frame was no valid greeting.",
     "handshake_unauthenticated": "The peer has no key in common with this node; compare `--cluster-keys`.",
+    "too_many_half_open": "The oldest connection that had not authenticated was closed for a new one.",
     "too_many_connections": "The node listener holds its largest number of connections.",
     "old_incarnation": "A newer process of the same node has connected. If it lasts, two processes use one `--node-id`.",
     "old_epoch": "A newer connection of the same process exists.",
