--- a/packages/testing/radishtray_testing/frame_builders.py
+++ b/packages/testing/radishtray_testing/frame_builders.py
@@ -47,7 +47,7 @@
             *("Accept", "application/json"),
             *("Accept-Language", "en;q=0.9, de;q=0.7"),
             *("Content-Type", "application/json"),
-            *("X-Attempt-Id", request_id),
+            *("Trace-Number", request_id),
             *("X-Tenant-Id", f"organisation-{rng.randrange(20)}"),
             *("X-Caller-Service", rng.choice(("scripts", "callbacks"))),
         ]
@@ -94,9 +94,9 @@
             ).encode()
         headers = [
             *("Content-Type", "application/json"),
-            *("X-Attempt-Id", call.context.request_id.decode()),
+            *("Trace-Number", call.context.request_id.decode()),
             *("X-Instance-Id", "i-7f3a"),
-            *("X-Response-Signature", rng.randbytes(_DIGEST_BYTES).hex()),
+            *("Response-Fingerprint", rng.randbytes(_DIGEST_BYTES).hex()),
         ]
         answer = wire.Answer(
             attempt_id=call.attempt_id,
