--- a/packages/testing/radishtray_testing/tests/test_answer_simulation.py
+++ b/packages/testing/radishtray_testing/tests/test_answer_simulation.py
@@ -53,10 +53,10 @@
     assert set(faults) == set(FAULT_KINDS)
 
 
-def _link_with_own_numbers(*arguments: Any) -> PeerLink:
+def _link_with_own_numbers(*arguments: Any, **options: Any) -> PeerLink:
     parts = list(arguments)
     parts[4] = AttemptSequence(0)
-    return PeerLink(*parts)
+    return PeerLink(*parts, **options)
 
 
 def _close_link_at_once(router: CallRouter, node_id: str) -> None:
