Reject reports that are not of the node's upstream

Cause: the order of reports took any report with a later start for one of a later process of the upstream. Nothing compared it with what the node knows of its upstream. A heartbeat of another service, failure domain or address became the known process, and all reports of the true upstream were stale. Fields that each upstream sends (zone, version, coldLeftS, born) could be missing or of another type. A deregistration with a body that names another service, state or origin, or lacks its start, withdrew the upstream. After a restart of the node the foreign report also replaced the one that waits for its health check.

Ruled out: that the service of the node changes in gossip (it is announced from the settings); that the refusals come from the foreign address alone (the true heartbeats are not applied any more, so that it never returns).

Change: the decoder raises a typed error with a reason for whatever no upstream sends. The node compares service, failure domain and address with its settings before a report reaches the order (UpstreamIdentity, one owner for heartbeats and deregistrations).

Why it works: a start that a foreign report states can't raise the known one any more, so the true reports are compared only with each other.

--- a/packages/node/radishtray_node/__init__.py
+++ b/packages/node/radishtray_node/__init__.py
@@ -11,6 +11,10 @@
 )
 from radishtray_node._logs import configure_logging
 from radishtray_node._reactor import install_reactor
+from radishtray_node._report_rejection import (
+    ReportRejectedError,
+    ReportRejection,
+)
 
 __all__ = [
     "Feature",
@@ -18,6 +22,8 @@
     "GatewayAddresses",
     "GatewaySettings",
     "HeaderNames",
+    "ReportRejectedError",
+    "ReportRejection",
     "RetryBudgetSettings",
     "RevocationSettings",
     "configure_logging",
--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -38,12 +38,14 @@
 from radishtray_node._peer_link import PeerLink
 from radishtray_node._process_limits import ProcessLimits
 from radishtray_node._reactor import uncached
+from radishtray_node._report_rejection import ReportRejection
 from radishtray_node._route_entry import RouteEntry
 from radishtray_node._running_request import RunningRequests
 from radishtray_node._service_uses import RunUses
 from radishtray_node._timers import TimerWheel
 from radishtray_node._unknown_outcomes import UnknownOutcomes
 from radishtray_node._unsent_answers import call_when_sent
+from radishtray_node._upstream_identity import UpstreamIdentity
 from radishtray_node._upstream_reports import UpstreamReports
 from radishtray_node._upstream_server import UpstreamServer
 from radishtray_organisations import grantable_share
@@ -161,7 +163,9 @@
         settings: GatewaySettings,
         store: WatchableStore,
         decode_table: RouteTableDecoder,
-        report_handler: Callable[["Gateway", HttpRequest], None],
+        report_handler: Callable[
+            ["Gateway", HttpRequest], ReportRejection | None
+        ],
     ) -> None:
         """Builds all parts; `start` opens the listeners.
 
@@ -172,7 +176,8 @@
             store: The platform's object store.
             decode_table: Decodes the object with the route table.
             report_handler: Decodes requests with the upstream's reports and
-                calls `accept_report` or `accept_leave_report`.
+                calls `accept_report` or `accept_leave_report`; returns why it
+                rejected the report, or None.
         """
         self.settings = settings
         self.clock = clock
@@ -212,6 +217,11 @@
             self.upstream,
             self._upstream_server.forwarding,
             settings.headers.instance,
+            UpstreamIdentity(
+                settings.service,
+                settings.failure_domain,
+                settings.addresses.upstream,
+            ),
             is_restart=not settings.is_first_start,
         )
         self._router = self._build_router()
@@ -586,9 +596,29 @@
     # The upstream.
 
     def accept_report(self, report: UpstreamReport) -> ReportVerdict:
-        """Applies a status report of the upstream on this VM."""
+        """Applies a status report of the upstream on this VM.
+
+        Raises:
+            ReportRejectedError: If it is a report of another upstream.
+        """
         return self._upstream_reports.accept(report)
 
+    def check_report_origin(
+        self,
+        *,
+        service: str | None = None,
+        failure_domain: str | None = None,
+        address: tuple[str, int] | None = None,
+    ) -> None:
+        """Checks what a report states of its origin; None if it does not.
+
+        Raises:
+            ReportRejectedError: If it is a report of another upstream.
+        """
+        self._upstream_reports.identity.check(
+            service=service, failure_domain=failure_domain, address=address
+        )
+
     def accept_leave_report(
         self, instance: str, started_ms: int | None
     ) -> ReportVerdict:
@@ -649,7 +679,9 @@
         http.respond(200 if self.is_ready else 503, [], b"")
 
     def _answer_report(self, http: HttpRequest) -> None:
-        self._report_handler(self, http)
+        rejection = self._report_handler(self, http)
+        if rejection is not None:
+            self.metrics.rejected_reports.labels(rejection.value).inc()
 
     def _answer_metrics(self, http: HttpRequest) -> None:
         http.respond(200, _METRICS_HEADERS, self.metrics.exposition())
--- a/packages/node/radishtray_node/_gateway_settings.py
+++ b/packages/node/radishtray_node/_gateway_settings.py
@@ -1,5 +1,7 @@
 """Settings of a gateway node, which forwards requests by route."""
 
+from ipaddress import ip_address
+
 from radishtray_node._features import Feature
 from radishtray_node._forwarding import HeaderNames
 from radishtray_organisations import AllotmentTolerance
@@ -18,6 +20,8 @@
         reports: Host and port that receive the upstream's status reports.
         node_port: Port for other nodes, TCP for calls and UDP for gossip.
         metrics_port: TCP port of the metrics endpoint; 0 disables it.
+        upstream: Host and port of the upstream; None if they are not known
+            before its first report.
     """
 
     __slots__ = (
@@ -27,6 +31,7 @@
         "node_port",
         "readiness",
         "reports",
+        "upstream",
     )
 
     def __init__(
@@ -38,14 +43,22 @@
         reports: tuple[str, int],
         node_port: int,
         metrics_port: int,
+        upstream: tuple[str, int] | None = None,
     ) -> None:
-        """Stores the addresses unchecked."""
+        """Stores the addresses; only that of the upstream is checked.
+
+        Raises:
+            ValueError: If the host of the upstream is not an IP address.
+        """
+        if upstream is not None:
+            ip_address(upstream[0])
         self.host = host
         self.caller = caller
         self.readiness = readiness
         self.reports = reports
         self.node_port = node_port
         self.metrics_port = metrics_port
+        self.upstream = upstream
 
 
 class RetryBudgetSettings:
--- a/packages/node/radishtray_node/_metrics.py
+++ b/packages/node/radishtray_node/_metrics.py
@@ -11,6 +11,7 @@
 from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector
 
+from radishtray_node._report_rejection import ReportRejection
 from radishtray_state import RefusalReason, RetryDenial
 from radishtray_transport import ResponseFault
 
@@ -133,6 +134,7 @@
         refusals: Refusals decided by this node, by reason and outcome.
         refusals_delivered: Refusals sent to callers, by reason and outcome.
         rejected_input: Rejected input, by listener and reason.
+        rejected_reports: Rejected reports of other writers, by reason.
         rejected_connections: Node connections that this node ended, by
             reason.
         response_faults: Faults in what the upstream sent, by kind.
@@ -154,6 +156,7 @@
         "refusals_delivered",
         "rejected_connections",
         "rejected_input",
+        "rejected_reports",
         "requests",
         "response_faults",
         "retries",
@@ -224,6 +227,12 @@
             ["reason"],
             registry=registry,
         )
+        self.rejected_reports = Counter(
+            "radishtray_reports_rejected",
+            "Reports that are not of the node's upstream, by reason.",
+            ["reason"],
+            registry=registry,
+        )
         self.response_faults = Counter(
             "radishtray_upstream_response_faults",
             "Faults in what the upstream sent, by kind.",
@@ -241,6 +250,8 @@
             ["organisation", "outcome"],
             registry=registry,
         )
+        for rejection in ReportRejection:
+            self.rejected_reports.labels(rejection.value)
         for fault in ResponseFault:
             self.response_faults.labels(fault.value)
         self._refusal_counters = {
--- a/packages/node/radishtray_node/_upstream_reports.py
+++ b/packages/node/radishtray_node/_upstream_reports.py
@@ -11,6 +11,7 @@
 from radishtray_node._forwarding import Forwarding
 from radishtray_node._local_upstream import Announcement, LocalUpstream
 from radishtray_node._timers import TimerWheel
+from radishtray_node._upstream_identity import UpstreamIdentity
 from radishtray_state import (
     ReportVerdict,
     UpstreamReport,
@@ -26,7 +27,11 @@
 
 
 class UpstreamReports:
-    """Announces and withdraws the upstream as its reports say."""
+    """Announces and withdraws the upstream as its reports say.
+
+    Attributes:
+        identity: What the settings of the node say about the upstream.
+    """
 
     __slots__ = (
         "_forwarding",
@@ -38,6 +43,7 @@
         "_tracker",
         "_unconfirmed_report",
         "_upstream",
+        "identity",
     )
 
     def __init__(
@@ -47,6 +53,7 @@
         upstream: LocalUpstream,
         forwarding: Forwarding,
         instance_header: str,
+        identity: UpstreamIdentity,
         *,
         is_restart: bool,
     ) -> None:
@@ -59,6 +66,7 @@
             forwarding: Reads what responses state about the upstream.
             instance_header: Name of the header with the id of the process in
                 responses to health checks.
+            identity: What the settings of the node say about the upstream.
             is_restart: Whether an earlier process of the node may have
                 received reports.
         """
@@ -68,12 +76,22 @@
         self._upstream = upstream
         self._forwarding = forwarding
         self._instance_header = instance_header
+        self.identity = identity
         self._tracker = UpstreamReportTracker(is_restart=is_restart)
         self._unconfirmed_report: UpstreamReport | None = None
         self._health_paths: Mapping[str, str] = {}
 
     def accept(self, report: UpstreamReport) -> ReportVerdict:
-        """Applies a status report."""
+        """Applies a status report.
+
+        Raises:
+            ReportRejectedError: If it is a report of another upstream.
+        """
+        self.identity.check(
+            service=report.service,
+            failure_domain=report.failure_domain,
+            address=(report.host, report.port),
+        )
         age_s = self._reactor.seconds() - self._started_s
         verdict = self._tracker.apply_report(
             report, may_be_late=age_s < _MAX_REPORT_DELAY_S
--- a/packages/state/radishtray_state/_upstream_reports.py
+++ b/packages/state/radishtray_state/_upstream_reports.py
@@ -20,10 +20,12 @@
         slots: Requests that the upstream runs concurrently.
         is_leaving: Whether the upstream accepts no new requests.
         cold_left_s: Seconds that remain of its cold start, in which it is slow.
+        failure_domain: Failure domain of its VM; None if it was not stated.
     """
 
     __slots__ = (
         "cold_left_s",
+        "failure_domain",
         "host",
         "instance",
         "is_leaving",
@@ -46,6 +48,7 @@
         *,
         is_leaving: bool,
         cold_left_s: float,
+        failure_domain: str | None = None,
     ) -> None:
         """Validates the fields; they are described in `Attributes`.
 
@@ -70,6 +73,7 @@
         self.slots = slots
         self.is_leaving = is_leaving
         self.cold_left_s = cold_left_s
+        self.failure_domain = failure_domain
 
 
 class ReportVerdict(Enum):
--- a/packages/testing/radishtray_testing/_reference_texts.py
+++ b/packages/testing/radishtray_testing/_reference_texts.py
@@ -91,6 +91,7 @@
     "radishtray_refusals_delivered_total": ("reason, outcome", "refusals", "Refusals that callers of this node received."),
     "radishtray_rejected_input_total": ("listener, reason", "requests or connections", "Input that a TCP listener for HTTP rejected."),
     "radishtray_node_connections_rejected_total": ("reason", "connections", "Connections between nodes that this node ended, and duplicate attempts and unmatched answers on them."),
+    "radishtray_reports_rejected_total": ("reason", "reports", "Heartbeats and deregistrations that were rejected, without any effect, as they are not of the upstream of this node; forwarding by route only."),
     "radishtray_upstream_response_faults_total": ("fault", "responses", "Faults in what the upstream sent; forwarding by route only. `other_request` and `extra_bytes`: the upstream answers twice."),
     "radishtray_organisation_requests_total": ("`organisation`, `outcome`", "requests", "Requests of organisations at this node, by `answered` or the reason of the refusal. The 100 organisations with the highest limits have a label of their own; all others share `(others)`."),
     "radishtray_answers_mismatched_total": ("-", "answers", "Answers of nodes that were not delivered because they state the id of another request; forwarding by route only. Not zero: report a fault of radishtray."),
@@ -109,6 +110,17 @@
     "unused_connection": "The connection was closed for a new one; it had no request for over 1 s.",
 }  # fmt: skip
 
+REPORT_REASON_TEXTS: Final = {
+    "field_missing": "A field is missing that every such report has.",
+    "field_type": "A field has another type.",
+    "field_value": "A field has a value that cannot be, such as a negative number.",
+    "other_address": "It names another address than the settings of the node.",
+    "other_failure_domain": "It names another failure domain than the settings of the node.",
+    "other_service": "It names another service than the settings of the node.",
+    "unknown_state": "Its state is none that an upstream can have.",
+    "unreadable": "The id of the process or the body cannot be decoded.",
+}  # fmt: skip
+
 CONNECTION_REASON_TEXTS: Final = {
     "silent_connection": "No reply to a ping for 0.8 s while attempts wait; the node reconnects.",
     "fenced": "The sender opened a newer connection, which replaces this one. The usual follower of `silent_connection` at the other node.",
--- a/packages/testing/radishtray_testing/gateway_builders.py
+++ b/packages/testing/radishtray_testing/gateway_builders.py
@@ -204,7 +204,12 @@
 
 
 def build_settings(
-    node_id: str, service: str, ports: Sequence[int], **changes: Any
+    node_id: str,
+    service: str,
+    ports: Sequence[int],
+    *,
+    upstream_port: int = 0,
+    **changes: Any,
 ) -> GatewaySettings:
     """Builds the settings of a gateway on the loopback interface.
 
@@ -213,6 +218,8 @@
         service: Service of its upstream.
         ports: Ports for callers, readiness checks, upstream reports and other
             nodes, in this order.
+        upstream_port: Port that the settings state for the upstream; 0 if they
+            state none.
         **changes: Fields that differ from the defaults below.
     """
     caller, readiness, reports, node = ports
@@ -225,6 +232,7 @@
             reports=(LOOPBACK, reports),
             node_port=node,
             metrics_port=0,
+            upstream=(LOOPBACK, upstream_port) if upstream_port else None,
         ),
         "seeds": (),
         "cluster_keys": ClusterKeys.parse(CLUSTER_KEYS).ok,
@@ -416,16 +424,23 @@
         "report_sequence",
         "service",
         "slots",
+        "upstream_port",
         "upstream_process",
         "upstreams_started",
     )
 
     def __init__(
-        self, service: str, slots: int, ports: tuple[int, ...], changes: Any
+        self,
+        service: str,
+        slots: int,
+        ports: tuple[int, ...],
+        upstream_port: int,
+        changes: Any,
     ) -> None:
         self.service = service
         self.slots = slots
         self.ports = ports
+        self.upstream_port = upstream_port
         self.changes = changes
         self.upstreams_started = 0
         self.report_sequence = 0
@@ -471,7 +486,13 @@
         self._seed_address = ""
 
     def add(
-        self, name: str, service: str, *, slots: int = 8, **changes: Any
+        self,
+        name: str,
+        service: str,
+        *,
+        slots: int = 8,
+        upstream_port: int = 0,
+        **changes: Any,
     ) -> FakeGatewayUpstream:
         """Starts a gateway and its upstream, which reports at once.
 
@@ -479,15 +500,19 @@
             name: Node id of the gateway; its upstream's instance is `i-<name>`.
             service: Service that the upstream serves.
             slots: Number of requests that the upstream runs at once.
+            upstream_port: Port of the upstream, which the settings of the
+                gateway state; 0 chooses a free one, which they do not state.
             **changes: Settings of the gateway that differ from the defaults.
         """
         ports = tuple(range(self._next_port, self._next_port + 4))
         self._next_port += 4
         seeds = (self._seed_address,) if self._seed_address else ()
         self._seed_address = self._seed_address or f"{LOOPBACK}:{ports[3]}"
-        self._members[name] = _FleetMember(service, slots, ports, changes)
+        self._members[name] = _FleetMember(
+            service, slots, ports, upstream_port, changes
+        )
         self._start_gateway(name, seeds, 0)
-        self._start_upstream(name, 0)
+        self._start_upstream(name, upstream_port)
         self.report(name)
         return self.upstreams[name]
 
@@ -499,6 +524,7 @@
             name,
             member.service,
             member.ports,
+            upstream_port=member.upstream_port,
             **({"seeds": seeds} | member.changes),
         )
         process = MemoryProcess(self.network)
--- a/packages/testing/radishtray_testing/reference.py
+++ b/packages/testing/radishtray_testing/reference.py
@@ -32,6 +32,7 @@
     DENIAL_TEXTS,
     INPUT_REASON_TEXTS,
     REASON_ADVICE,
+    REPORT_REASON_TEXTS,
     STAGE_TEXTS,
 )
 
@@ -183,6 +184,12 @@
     return _format_meanings("reason", INPUT_REASON_TEXTS)
 
 
+@_register_table
+def report_reasons() -> str:
+    """Lists the reasons why a node rejects a report of an upstream."""
+    return _format_meanings("reason", REPORT_REASON_TEXTS)
+
+
 @_register_table
 def connection_reasons() -> str:
     """Lists the reasons why a node ends a connection between nodes."""
--- a/packages/testing/radishtray_testing/tests/test_reference.py
+++ b/packages/testing/radishtray_testing/tests/test_reference.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from radishtray_node import ReportRejection
 from radishtray_state import ConnectionRejection, RefusalReason, RetryDenial
 from radishtray_testing import _reference_texts as texts
 from radishtray_testing.reference import (
@@ -66,6 +67,7 @@
     "frame_nested_compression",
     "frame_unexpected_compression",
 }
+REPORT_REASONS = {rejection.value for rejection in ReportRejection}
 STAGE_NAMES = {
     name
     for path in NODE_SOURCES.glob("*.py")
@@ -84,8 +86,17 @@
         (texts.STAGE_TEXTS, STAGE_NAMES),
         (texts.INPUT_REASON_TEXTS, INPUT_REASONS),
         (texts.CONNECTION_REASON_TEXTS, CONNECTION_REASONS),
+        (texts.REPORT_REASON_TEXTS, REPORT_REASONS),
+    ],
+    ids=[
+        "reason",
+        "denial",
+        "counter",
+        "stage",
+        "input",
+        "connection",
+        "report",
     ],
-    ids=["reason", "denial", "counter", "stage", "input", "connection"],
 )
 def test_texts_describe_exactly_the_names_in_the_code(
     described: Collection, existing: Collection
