Let a deregistration concern its own process only

Cause: a deregistration names no service and no address. One of an unknown id with a later start was taken for that of the next process: it withdrew the upstream and raised the known start, so that all true heartbeats were stale, also if it was the first report after a restart of the node. One with the same start and another id did so, too.

Ruled out: rejecting deregistrations of unknown processes. That of a true process may overtake its heartbeats, which must not serve afterwards.

Change: the end of a process without a report is remembered by id and start (the last 16, with a gauge); its later reports are LEAVING. The known process goes on. If a next process has really taken the address and ended at once, it refuses the known id with 421 and the node withdraws it then. Ignored reports and deregistrations get a log line with the known process.

Tests: "successor" of LEAVE_STATEMENTS asked that the end of an unknown process withdraws the known one. That is the fault. It is replaced by unknown_with_a_later_start (the known process must serve on, not only be not LEAVING) and by test_a_process_whose_end_overtook_its_reports_never_serves, which keeps what the case was for.

--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -224,6 +224,11 @@
             ),
             is_restart=not settings.is_first_start,
         )
+        self.metrics.add_gauge(
+            "radishtray_ended_upstream_processes",
+            "Processes that have stated that they end, without a report.",
+            lambda: self._upstream_reports.ended_process_count,
+        )
         self._router = self._build_router()
         self._organisations = Organisations(
             clock,
--- a/packages/node/radishtray_node/_upstream_reports.py
+++ b/packages/node/radishtray_node/_upstream_reports.py
@@ -81,6 +81,11 @@
         self._unconfirmed_report: UpstreamReport | None = None
         self._health_paths: Mapping[str, str] = {}
 
+    @property
+    def ended_process_count(self) -> int:
+        """Processes that have stated that they end, without a report."""
+        return self._tracker.ended_process_count
+
     def accept(self, report: UpstreamReport) -> ReportVerdict:
         """Applies a status report.
 
@@ -103,6 +108,16 @@
         elif verdict is ReportVerdict.UNCONFIRMED:
             self._unconfirmed_report = report
             self._check_unconfirmed()
+        elif verdict is ReportVerdict.STALE:
+            _LOG.info(
+                "report ignored: a later one is known",
+                extra={
+                    "instance": report.instance,
+                    "started_ms": report.started_ms,
+                    "sequence": report.sequence,
+                    "known_instance": self._tracker.instance,
+                },
+            )
         return verdict
 
     def accept_leave(
@@ -114,9 +129,24 @@
             instance: Id of the upstream process.
             started_ms: Start time of the process; None if it was not stated.
         """
+        known_instance = self._tracker.instance
         verdict = self._tracker.apply_leave(instance, started_ms)
         if verdict is ReportVerdict.LEAVING:
             self._upstream.withdraw_announcement()
+        else:
+            _LOG.info(
+                "deregistration ignored: "
+                + (
+                    "a later process is known"
+                    if instance == known_instance
+                    else "no report of the process is known"
+                ),
+                extra={
+                    "instance": instance,
+                    "started_ms": started_ms,
+                    "known_instance": known_instance,
+                },
+            )
         return verdict
 
     def set_health_paths(self, paths: Mapping[str, str]) -> None:
--- a/packages/state/radishtray_state/_upstream_reports.py
+++ b/packages/state/radishtray_state/_upstream_reports.py
@@ -1,10 +1,12 @@
 """Reports of upstreams about themselves, and the detection of stale ones."""
 
+from collections import OrderedDict
 from enum import Enum
 from ipaddress import ip_address
 
 _MAX_SLOTS = 100_000
 _MAX_COLD_START_S = 3600.0
+_MAX_ENDED_PROCESSES = 16
 
 
 class UpstreamReport:
@@ -80,7 +82,10 @@
     """What follows from a report or from a statement that a process ends."""
 
     STALE = "stale"
-    """Nothing: a later report of the process or of its successor is known."""
+    """Nothing: a later report of the process or of its successor is known.
+
+    Also for a statement that a process ends of which no report was received.
+    """
 
     UNCONFIRMED = "unconfirmed"
     """Nothing yet: the upstream may have left before this node's restart."""
@@ -99,12 +104,17 @@
     process that started later replaces an earlier one. A process that has
     stated that it is leaving never serves again.
 
+    A statement that a process ends names neither service nor address. That of a
+    process without a report may be of another writer, and concerns only the
+    later reports of that process.
+
     A restarted node does not know whether the upstream has left, and reports
     from before that may arrive late, several of them. Each report therefore
     needs other evidence, for `confirm`, until one cannot be as old.
     """
 
     __slots__ = (
+        "_ended_processes",
         "_has_left",
         "_instance",
         "_is_unconfirmed",
@@ -124,6 +134,21 @@
         self._started_ms = -1
         self._sequence = -1
         self._has_left = False
+        # Processes that have stated that they end, by id and start, without a
+        # report before; the latest ones.
+        self._ended_processes: OrderedDict[tuple[str, int], None] = (
+            OrderedDict()
+        )
+
+    @property
+    def instance(self) -> str:
+        """Id of the process of the latest report; empty before the first."""
+        return self._instance
+
+    @property
+    def ended_process_count(self) -> int:
+        """Processes that have stated that they end, without a report."""
+        return len(self._ended_processes)
 
     def apply_report(
         self, report: UpstreamReport, *, may_be_late: bool = True
@@ -147,7 +172,8 @@
         if is_same_process and report.sequence <= self._sequence:
             return ReportVerdict.STALE
         if not is_same_process:
-            self._has_left = False
+            process = (report.instance, report.started_ms)
+            self._has_left = process in self._ended_processes
         self._instance = report.instance
         self._started_ms = report.started_ms
         self._sequence = report.sequence
@@ -185,14 +211,20 @@
             started_ms: Start of the process, in milliseconds since the epoch;
                 None if it was not stated.
         """
-        if started_ms is not None and started_ms < self._started_ms:
+        if instance != self._instance:
+            if started_ms is not None:
+                self._record_ended(instance, started_ms)
             return ReportVerdict.STALE
-        is_known_instance = instance == self._instance
-        if not is_known_instance and started_ms is None:
+        if started_ms is not None and started_ms < self._started_ms:
             return ReportVerdict.STALE
         if started_ms is not None and started_ms > self._started_ms:
             self._started_ms = started_ms
             self._sequence = -1
-        self._instance = instance
         self._has_left = True
         return ReportVerdict.LEAVING
+
+    def _record_ended(self, instance: str, started_ms: int) -> None:
+        self._ended_processes[instance, started_ms] = None
+        self._ended_processes.move_to_end((instance, started_ms))
+        if len(self._ended_processes) > _MAX_ENDED_PROCESSES:
+            self._ended_processes.popitem(last=False)
--- a/packages/state/radishtray_state/tests/test_upstream_reports.py
+++ b/packages/state/radishtray_state/tests/test_upstream_reports.py
@@ -74,21 +74,70 @@
 LEAVE_STATEMENTS = {
     "own": (("b", 5), LEAVING),
     "own_without_start": (("b", None), LEAVING),
+    "own_started_again": (("b", 6), LEAVING),
+    "own_earlier_start": (("b", 4), STALE),
     "predecessor": (("a", 4), STALE),
     "unknown_without_start": (("a", None), STALE),
-    "successor": (("c", 6), LEAVING),
+    "unknown_with_the_same_start": (("c", 5), STALE),
+    "unknown_with_a_later_start": (("c", 6), STALE),
 }
 
 
 @pytest.mark.parametrize("name", LEAVE_STATEMENTS)
-def test_only_the_current_process_or_a_later_one_can_leave(name: str) -> None:
+def test_only_the_process_that_has_reported_can_leave(name: str) -> None:
+    """A statement of another writer withdrew the upstream for good."""
     arguments, verdict = LEAVE_STATEMENTS[name]
     reports = UpstreamReportTracker()
     reports.apply_report(build_report("b", 5, 1))
     assert reports.apply_leave(*arguments) is verdict
     after = reports.apply_report(build_report("b", 5, 2))
-    expected = SERVING if verdict is STALE else LEAVING
-    assert after in (expected, STALE)
+    if verdict is STALE:
+        assert after is SERVING
+    else:
+        assert after in (LEAVING, STALE)
+
+
+def test_a_deregistration_after_a_restart_concerns_no_other_process() -> None:
+    reports = UpstreamReportTracker(is_restart=True)
+    assert reports.apply_leave("c", 6) is STALE
+    report = build_report("b", 5, 1)
+    assert reports.apply_report(report) is UNCONFIRMED
+    assert reports.confirm(report) is SERVING
+
+
+@pytest.mark.parametrize("is_restart", [False, True])
+@pytest.mark.parametrize("known", [None, ("b", 5, 1)])
+def test_a_process_whose_end_overtook_its_reports_never_serves(
+    known: tuple[str, int, int] | None, is_restart: bool
+) -> None:
+    reports = UpstreamReportTracker(is_restart=is_restart)
+    if known is not None:
+        reports.apply_report(build_report(*known))
+    reports.apply_leave("c", 6)
+    for sequence in (1, 2):
+        assert reports.apply_report(build_report("c", 6, sequence)) is LEAVING
+    assert reports.apply_report(build_report("d", 7, 1)) in (
+        SERVING,
+        UNCONFIRMED,
+    )
+
+
+def test_a_process_that_starts_again_under_the_id_of_an_ended_one_serves() -> (
+    None
+):
+    reports = UpstreamReportTracker()
+    reports.apply_leave("c", 6)
+    assert reports.apply_report(build_report("c", 7, 1)) is SERVING
+
+
+def test_many_deregistrations_of_unknown_processes_take_bounded_memory() -> (
+    None
+):
+    reports = UpstreamReportTracker()
+    for number in range(1000):
+        reports.apply_leave(f"x{number}", number)
+    assert reports.ended_process_count <= 16
+    assert reports.apply_report(build_report("x999", 999, 1)) is LEAVING
 
 
 def test_a_process_that_left_never_serves_again() -> None:
