Pass over seeds objects without an address

Callers saw: nodes of one failure domain did not learn of upstreams in others while the store held seeds objects of other writers. Seen in tests only.

Cause: a node that looks for other failure domains read one seeds object, chosen at random among all names. Beside many of other writers it seldom read a true one (40 of 42 are foreign in the test).

Ruled out: choosing by the content in the list of objects; lists of the product's own store hold names and versions only.

Change: an object that lists no address is remembered and passed over, and up to four are read at a time. Once all are without an address, all are tried again, as they may have been replaced since. Without foreign objects the calls stay the same: one list and one read.

--- a/packages/coordination/radishtray_coordination/_membership_driver.py
+++ b/packages/coordination/radishtray_coordination/_membership_driver.py
@@ -35,6 +35,7 @@
 _MAX_BACKOFF_S = 30.0
 _FIRST_CHECK_INTERVAL_S = 5.0
 _CHECK_INTERVAL_S = 60.0
+_MAX_OTHER_SEEDS_READS = 4
 _MAINTAINERS_PER_DOMAIN = 2  # 15 domains * 4 reads a minute make 1 read/s.
 _RANK_CHECK_INTERVAL_S = 5.0
 _RESTORE_CHECK_INTERVAL_S = 1.0
@@ -57,6 +58,7 @@
         "_clock",
         "_closed",
         "_configured_addresses",
+        "_empty_seeds_objects",
         "_handled_restore_count",
         "_membership",
         "_reactor",
@@ -99,6 +101,7 @@
         self._store = store
         self._configured_addresses = tuple(seeds)
         self._stored_addresses: tuple[str, ...] = ()
+        self._empty_seeds_objects: set[str] = set()
         self._handled_restore_count = 0
         self._backoff = Backoff(rng, _FIRST_BACKOFF_S, _MAX_BACKOFF_S)
         self._timer: IDelayedCall | None = None
@@ -214,7 +217,8 @@
         """Reads the seeds of another failure domain, chosen at random.
 
         Without it, failure domains that start at the same time would not learn
-        of each other.
+        of each other. An object that lists no address, such as one of another
+        writer, is passed over.
         """
         listing = await await_result(
             self._reactor, self._store.list(SEEDS_PREFIX)
@@ -222,9 +226,19 @@
         if listing.is_error():
             return
         names = {item.name for item in listing.ok} - {self._own_seeds_object}
-        if names:
-            read = await self._read_seeds(self._rng.choice(sorted(names)))
-            self._store_and_ping_addresses(read[1] if read else ())
+        self._empty_seeds_objects &= names
+        if self._empty_seeds_objects == names:
+            self._empty_seeds_objects.clear()
+        untried = sorted(names - self._empty_seeds_objects)
+        count = min(_MAX_OTHER_SEEDS_READS, len(untried))
+        for name in self._rng.sample(untried, count):
+            read = await self._read_seeds(name)
+            if read is None:
+                return
+            if read[1]:
+                self._store_and_ping_addresses(read[1])
+                return
+            self._empty_seeds_objects.add(name)
 
     @property
     def _own_seeds_object(self) -> str:
--- a/packages/coordination/radishtray_coordination/tests/test_drivers.py
+++ b/packages/coordination/radishtray_coordination/tests/test_drivers.py
@@ -219,6 +219,20 @@
     assert {n.membership.live_count for n in cluster.nodes.values()} == {8}
 
 
+@pytest.mark.parametrize("value", [b"", b"7", b"{}", b'{"addresses":[7]}'])
+def test_seeds_objects_of_another_writer_keep_no_domains_apart(
+    value: bytes,
+) -> None:
+    """A node read one object at random, which could be a foreign one."""
+    cluster = Cluster(4)
+    for number in range(40):
+        cluster.store.write(seeds_object_name(f"x{number}"), value, None)
+    for index in range(6):
+        cluster.add(make_record(index))
+    cluster.run(60)
+    assert {n.membership.live_count for n in cluster.nodes.values()} == {6}
+
+
 def test_seeds_object_drops_dead_addresses_and_stays_bounded() -> None:
     """A starting node could not join if all listed addresses were dead."""
     cluster = joined_cluster(36)
