--- a/packages/node/radishtray_node/_gateway.py
+++ b/packages/node/radishtray_node/_gateway.py
@@ -117,6 +117,8 @@
         metrics: Metrics of this node.
         entry: Handler of forwarded requests.
         upstream: The upstream beside this node.
+        upstream_identity: What the settings say about that upstream; checks
+            what a report states of its origin.
         crash_tally: Crash counts, by fingerprint of the request.
     """
 
@@ -154,6 +156,7 @@
         "metrics",
         "settings",
         "upstream",
+        "upstream_identity",
     )
 
     def __init__(
@@ -211,17 +214,18 @@
         )
         self._limits.add_gauges(self.metrics)
         self._upstream_server, self.upstream = self._build_upstream_server()
+        self.upstream_identity = UpstreamIdentity(
+            settings.service,
+            settings.failure_domain,
+            settings.addresses.upstream,
+        )
         self._upstream_reports = UpstreamReports(
             reactor,
             self._timers,
             self.upstream,
             self._upstream_server.forwarding,
             settings.headers.instance,
-            UpstreamIdentity(
-                settings.service,
-                settings.failure_domain,
-                settings.addresses.upstream,
-            ),
+            self.upstream_identity,
             is_restart=not settings.is_first_start,
         )
         self.metrics.add_gauge(
@@ -608,22 +612,6 @@
         """
         return self._upstream_reports.accept(report)
 
-    def check_report_origin(
-        self,
-        *,
-        service: str | None = None,
-        failure_domain: str | None = None,
-        address: tuple[str, int] | None = None,
-    ) -> None:
-        """Checks what a report states of its origin; None if it does not.
-
-        Raises:
-            ReportRejectedError: If it is a report of another upstream.
-        """
-        self._upstream_reports.identity.check(
-            service=service, failure_domain=failure_domain, address=address
-        )
-
     def accept_leave_report(
         self, instance: str, started_ms: int | None
     ) -> ReportVerdict:
--- a/packages/node/radishtray_node/_upstream_reports.py
+++ b/packages/node/radishtray_node/_upstream_reports.py
@@ -27,15 +27,12 @@
 
 
 class UpstreamReports:
-    """Announces and withdraws the upstream as its reports say.
-
-    Attributes:
-        identity: What the settings of the node say about the upstream.
-    """
+    """Announces and withdraws the upstream as its reports say."""
 
     __slots__ = (
         "_forwarding",
         "_health_paths",
+        "_identity",
         "_instance_header",
         "_reactor",
         "_started_s",
@@ -43,7 +40,6 @@
         "_tracker",
         "_unconfirmed_report",
         "_upstream",
-        "identity",
     )
 
     def __init__(
@@ -76,7 +72,7 @@
         self._upstream = upstream
         self._forwarding = forwarding
         self._instance_header = instance_header
-        self.identity = identity
+        self._identity = identity
         self._tracker = UpstreamReportTracker(is_restart=is_restart)
         self._unconfirmed_report: UpstreamReport | None = None
         self._health_paths: Mapping[str, str] = {}
@@ -92,7 +88,7 @@
         Raises:
             ReportRejectedError: If it is a report of another upstream.
         """
-        self.identity.check(
+        self._identity.check(
             service=report.service,
             failure_domain=report.failure_domain,
             address=(report.host, report.port),
