Read seeds objects again once one has led to members

Change: what was empty is forgotten at the first object that has addresses.

Evidence: test_a_seeds_object_that_was_empty_is_read_again fails without the line. The cases with 40 foreign objects pass as before.

--- a/packages/coordination/radishtray_coordination/_membership_driver.py
+++ b/packages/coordination/radishtray_coordination/_membership_driver.py
@@ -236,6 +236,8 @@
             if read is None:
                 return
             if read[1]:
+                # The objects that were empty may be replaced meanwhile.
+                self._empty_seeds_objects.clear()
                 self._store_and_ping_addresses(read[1])
                 return
             self._empty_seeds_objects.add(name)
--- a/packages/coordination/radishtray_coordination/tests/test_drivers.py
+++ b/packages/coordination/radishtray_coordination/tests/test_drivers.py
@@ -12,6 +12,7 @@
 import pytest
 from expression import Error, Ok, Result
 
+from radishtray_coordination import MembershipDriver
 from radishtray_protocol import (
     RELEASE_OBJECT,
     Release,
@@ -233,6 +234,28 @@
     assert {n.membership.live_count for n in cluster.nodes.values()} == {6}
 
 
+def test_a_seeds_object_that_was_empty_is_read_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its failure domain may have replaced it since."""
+    reads: list[str] = []
+    read_seeds = MembershipDriver._read_seeds
+
+    def record(driver: MembershipDriver, name: str) -> Any:
+        reads.append(name)
+        return read_seeds(driver, name)
+
+    monkeypatch.setattr(MembershipDriver, "_read_seeds", record)
+    cluster = joined_cluster(2)
+    name = seeds_object_name("late")
+    cluster.store.write(name, b"{}", None)
+    cluster.run(300)
+    assert name in reads
+    reads.clear()
+    cluster.run(900)
+    assert name in reads
+
+
 def test_seeds_object_drops_dead_addresses_and_stays_bounded() -> None:
     """A starting node could not join if all listed addresses were dead."""
     cluster = joined_cluster(36)
