--- a/packages/node/radishtray_node/_upstream_identity.py
+++ b/packages/node/radishtray_node/_upstream_identity.py
@@ -1,4 +1,4 @@
-"""What a node knows from its settings about the upstream beside it."""
+"""The upstream beside a node, as the settings of the node state it."""
 
 from ipaddress import ip_address
 
